--- a/tamarindlift/__init__.py
+++ b/latchturn/__init__.py
@@ -1,4 +1,4 @@
-"""tamarindlift: the decisions of a call controller."""
+"""latchturn: the decisions of a call controller."""
 
 from .brain import Controller
 
--- a/tamarindlift/brain.py
+++ b/latchturn/brain.py
@@ -1,4 +1,4 @@
-"""Every decision of the call controller. Its interface is tamarindlift/interface.py.
+"""Every decision of the call controller. Its interface is latchturn/interface.py.
 
 The ordinary path is the upper-limit and guaranteed-minimum test of Choudhury, Leung and Whitt on each
 own trunk group, direct route first, else the tandem with most told free circuits (docs/design.md).
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,8 +4,8 @@
 
 from dataclasses import replace
 
-from tamarindlift import Controller
-from tamarindlift import interface as i
+from latchturn import Controller
+from latchturn import interface as i
 
 SECOND = 1_000_000
 OWN = 0
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -9,14 +9,14 @@
 
 import pytest
 
-from tamarindlift import benchlink
+from latchturn import benchlink
 
 from . import frames
 
 
 def run(data: bytes, seed: str = "0") -> subprocess.CompletedProcess[bytes]:
     env = {**os.environ, "PYTHONHASHSEED": seed}
-    command = [sys.executable, "-m", "tamarindlift.benchlink"]
+    command = [sys.executable, "-m", "latchturn.benchlink"]
     return subprocess.run(command, input=data, capture_output=True, env=env, timeout=60, check=False)
 
 
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tamarindlift.brain import DIRECT, TWO_LEG, Group
+from latchturn.brain import DIRECT, TWO_LEG, Group
 
 STEPS = st.lists(st.tuples(st.sampled_from("srz"), st.booleans(), st.integers(0, 60)), max_size=60)
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from tamarindlift import Controller
-from tamarindlift import interface as i
+from latchturn import Controller
+from latchturn import interface as i
 
 from .helpers import SECOND, SETTINGS, Bench, changed, finals, sends
 
--- a/tests/test_random.py
+++ b/tests/test_random.py
@@ -8,8 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tamarindlift import interface as i
-from tamarindlift.brain import CALLERS_KEPT, NUMBERS_KEPT
+from latchturn import interface as i
+from latchturn.brain import CALLERS_KEPT, NUMBERS_KEPT
 
 from .helpers import SECOND, Bench, changed, entry
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tamarindlift import interface as i
+from latchturn import interface as i
 
 from .helpers import OWN, SECOND, SETTINGS, Bench, changed, entry, finals, sends
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tamarindlift import interface as i
+from latchturn import interface as i
 
 from .helpers import SECOND, Bench, changed, entry, finals, sends
 
