--- a/latchturn/benchlink.py
+++ b/latchturn/benchlink.py
@@ -7,6 +7,7 @@
 
 import struct
 import sys
+from collections.abc import Iterable
 from typing import BinaryIO, NoReturn
 
 from . import interface as i
@@ -166,6 +167,21 @@
     return settings, fields
 
 
+def read_report(figures: Iterable[tuple[str | None, float]]) -> i.Report:
+    """A load report from figures by their field; those unknown, absent or out of reason are left out."""
+    report = i.Report()
+    for name, value in figures:
+        if name is None or not value >= 0.0 or value > 1e12:
+            continue
+        if name in ("free", "size"):
+            setattr(report, name, int(value))
+        elif name == "wait_us":
+            report.wait_us = int(value * 1000)
+        else:
+            setattr(report, name, value)
+    return report
+
+
 class _Instance:
     """One running controller and the order of its report fields."""
 
@@ -176,19 +192,7 @@
         self.fields = fields
 
     def report(self, n: int, values: tuple[float, ...]) -> i.Report | None:
-        if n == 0:
-            return None
-        report = i.Report()
-        for name, value in zip(self.fields[:n], values):
-            if name is None or not value >= 0.0 or value > 1e12:
-                continue
-            if name in ("free", "size"):
-                setattr(report, name, int(value))
-            elif name == "wait_us":
-                report.wait_us = int(value * 1000)
-            else:
-                setattr(report, name, value)
-        return report
+        return read_report(zip(self.fields[:n], values)) if n else None
 
 
 class Link:
--- /dev/null
+++ b/latchturn/net.py
@@ -0,0 +1,290 @@
+"""The sockets: listener, callers' connections, links to exchanges, command channel, clock and signals.
+
+Owns every socket and task, each opened and released in one place. Tells the reducer what has
+happened and runs the effects it asks for, in their order. It must decide nothing: no call, no limit
+and no timer is known here.
+"""
+
+from __future__ import annotations
+
+import errno
+import json
+import math
+import random
+import signal
+import sys
+import time
+import traceback
+from collections import deque
+from collections.abc import Callable, Iterator
+
+import trio
+
+from . import protocol, session
+
+RECEIVE = 64 * 1024
+BACKLOG = 512
+ACCEPT_PAUSE_S = 0.05  # after an accept that failed for want of descriptors or memory
+CHANNEL_CONNECT_S = 1.0
+CHANNEL_SILENT_S = 2.5  # an empty frame comes each second
+CHANNEL_PAUSE_S = (0.05, 0.3)
+# Errors of accept that pass: those of a connection that ended early, and want of descriptors or memory.
+PASSING = {
+    errno.ECONNABORTED, errno.EPROTO, errno.EPERM, errno.EINTR,
+    errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM,
+}  # fmt: skip
+
+
+class Clock:
+    """Unix microseconds that never go backwards, also when the system's clock is set back."""
+
+    def __init__(self, read_ns: Callable[[], int] = time.time_ns) -> None:
+        self._read_ns = read_ns
+        self._ahead = 0
+        self._last = 0
+
+    def now_us(self) -> int:
+        now = self._read_ns() // 1000 + self._ahead
+        if now < self._last:
+            self._ahead += self._last - now
+            now = self._last
+        self._last = now
+        return now
+
+
+class _Outlet:
+    """What is to be written on one stream, and the means to end its task."""
+
+    def __init__(self) -> None:
+        self.scope = trio.CancelScope()
+        self.todo: bytes | None = None
+        self.wake = trio.Event()
+
+    def write(self, data: bytes) -> None:
+        self.todo = data
+        self.wake.set()
+
+
+class Node:
+    """One session controller on its sockets."""
+
+    def __init__(self, config: protocol.Config, core: session.Session) -> None:
+        self.config = config
+        self.core = core
+        self.clock = Clock()
+        self._random = random.Random(config.seed)
+        self._outlets: dict[int, _Outlet] = {}
+        self._accepted = 0
+        self._wake = trio.Event()
+        self._wake_us: int | None = None
+        self._inputs: deque[session.Input] = deque()
+        self._nursery: trio.Nursery
+
+    async def run(self) -> None:
+        """Serve until the reducer asks to end."""
+        host, port = self.config.listen
+        with trio.socket.socket() as listener:
+            listener.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
+            await listener.bind((host, port))
+            listener.listen(BACKLOG)
+            async with trio.open_nursery() as self._nursery:
+                self._nursery.start_soon(self._guard, self._watch_signals)
+                self.tell(session.Started(self.config.known))
+                self._nursery.start_soon(self._guard, self._accept, listener)
+                self._nursery.start_soon(self._guard, self._follow_channel)
+                self._nursery.start_soon(self._guard, self._keep_time)
+
+    async def _guard(self, work: Callable[..., object], *args: object) -> None:
+        """Run one task; what it raises is logged and counted and ends nothing else."""
+        try:
+            await work(*args)  # type: ignore[misc]
+        except Exception:  # noqa: BLE001
+            self.core.counters["task_errors"] += 1
+            log(traceback.format_exc())
+
+    # --- the reducer ---
+
+    def tell(self, happened: session.Input) -> None:
+        """Hand an input to the reducer and run the effects. An effect may bring up further inputs: they
+        wait until the effects before them are run."""
+        self._inputs.append(happened)
+        if len(self._inputs) > 1:
+            return
+        while self._inputs:
+            try:
+                for effect in self.core.step(self.clock.now_us(), self._inputs[0]):
+                    self._run_effect(effect)
+            except Exception:  # noqa: BLE001 - one event's fault must not end the task that met with it
+                self.core.counters["errors"] += 1
+                log(traceback.format_exc())
+            finally:
+                self._inputs.popleft()
+        wake_us = self.core.wake_us()
+        if wake_us is not None and (self._wake_us is None or wake_us < self._wake_us):
+            self._wake.set()
+
+    def _run_effect(self, effect: session.Effect) -> None:
+        match effect:
+            case session.Write(stream, messages):
+                if stream in self._outlets:
+                    self._outlets[stream].write(b"".join(map(protocol.encode, messages)))
+            case session.Connect(stream):
+                outlet = self._outlets[stream] = _Outlet()
+                self._nursery.start_soon(self._guard, self._run_link, effect, outlet)
+            case session.Close(stream):
+                if stream in self._outlets:
+                    self._outlets[stream].scope.cancel()
+            case session.Log(text):
+                log(text)
+            case session.Exit():
+                self._nursery.cancel_scope.cancel()
+
+    async def _keep_time(self) -> None:
+        while True:
+            self._wake = trio.Event()
+            self._wake_us = self.core.wake_us()
+            wait_s = math.inf
+            if self._wake_us is not None:
+                wait_s = max(0.0, (self._wake_us - self.clock.now_us()) / 1e6)
+            with trio.move_on_after(wait_s):
+                await self._wake.wait()
+            self._wake_us = 0  # no call of `tell` need wake this task while it is at work
+            due = self.core.wake_us()
+            if due is not None and due <= self.clock.now_us():
+                self.tell(session.Tick())
+
+    # --- callers ---
+
+    async def _accept(self, listener: trio.socket.SocketType) -> None:
+        while True:
+            try:
+                sock, _ = await listener.accept()
+            except OSError as error:
+                if error.errno not in PASSING:
+                    raise
+                # Guards against a spin while descriptors are used up: the backlog waits meanwhile.
+                self.core.counters["accepts_failed"] += 1
+                await trio.sleep(ACCEPT_PAUSE_S)
+                continue
+            self._accepted += 1
+            self._nursery.start_soon(self._guard, self._run_caller, self._accepted, sock)
+
+    async def _run_caller(self, ident: int, sock: trio.socket.SocketType) -> None:
+        outlet = self._outlets[ident] = _Outlet()
+        with sock:
+            sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
+            self.tell(session.Accepted(ident))
+            await self._run_stream(ident, sock, outlet)
+
+    # --- exchanges ---
+
+    async def _run_link(self, connect: session.Connect, outlet: _Outlet) -> None:
+        ident = connect.stream
+        refused = False
+        with trio.socket.socket() as sock:
+            sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
+            up = False
+            try:
+                with outlet.scope, trio.move_on_after(connect.timeout_us / 1e6):
+                    await sock.connect(connect.address)
+                    up = True
+            except ConnectionRefusedError:
+                refused = True
+            except OSError as error:
+                log(f"connect to {connect.address[0]}:{connect.address[1]}: {error}")
+            if up:
+                outlet.scope = trio.CancelScope()
+                self.tell(session.Connected(ident))
+                await self._run_stream(ident, sock, outlet)
+                return
+        del self._outlets[ident]
+        self.tell(session.ConnectFailed(ident, refused))
+
+    # --- any stream ---
+
+    async def _run_stream(self, ident: int, sock: trio.socket.SocketType, outlet: _Outlet) -> None:
+        """Read and write until both are over or the reducer closes the stream."""
+        try:
+            with outlet.scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._write, ident, sock, outlet)
+                    await self._read(ident, sock)
+        except* OSError:
+            pass  # the peer has reset the connection: all that is left is to say so
+        finally:
+            # The socket is closed before the reducer hears of it, so that its descriptor is free again.
+            sock.close()
+            self._outlets.pop(ident, None)
+            self.tell(session.Closed(ident))
+
+    async def _read(self, ident: int, sock: trio.socket.SocketType) -> None:
+        decoder = protocol.MessageDecoder()
+        try:
+            while data := await sock.recv(RECEIVE):
+                for message in decoder.feed(data):
+                    self.tell(session.Heard(ident, message))
+        except protocol.ProtocolError as error:
+            self.tell(session.Garbled(ident, str(error)))
+        else:
+            self.tell(session.Ended(ident))
+
+    async def _write(self, ident: int, sock: trio.socket.SocketType, outlet: _Outlet) -> None:
+        while True:
+            await outlet.wake.wait()
+            outlet.wake = trio.Event()
+            if outlet.todo is not None:
+                data, outlet.todo = memoryview(outlet.todo), None
+                while data:
+                    data = data[await sock.send(data) :]
+                self.tell(session.Wrote(ident))
+
+    # --- the command channel ---
+
+    async def _follow_channel(self) -> None:
+        """Follow the list of exchanges, from the last event taken in, for as long as the program runs."""
+        while True:
+            try:
+                await self._read_channel()
+            except (OSError, trio.TooSlowError, protocol.ProtocolError) as error:
+                log(f"command channel: {error or type(error).__name__}")
+            self.core.counters["channel_reconnects"] += 1
+            await trio.sleep(self._random.uniform(*CHANNEL_PAUSE_S))
+
+    async def _read_channel(self) -> None:
+        with trio.socket.socket() as sock:
+            with trio.fail_after(CHANNEL_CONNECT_S):
+                await sock.connect(self.config.channel)
+                await sock.send(protocol.encode_cursor(self.core.cursor))
+            decoder = protocol.FrameDecoder()
+            while True:
+                with trio.fail_after(CHANNEL_SILENT_S):
+                    data = await sock.recv(RECEIVE)
+                if not data:
+                    return
+                for update in decoder.feed(data):
+                    self.tell(session.ListTold(update))
+
+    # --- signals ---
+
+    async def _watch_signals(self) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as received:
+            async for number in received:
+                if number == signal.SIGUSR1:
+                    log(self.counters_line())
+                else:
+                    self.tell(session.Terminate())
+
+    def counters_line(self) -> str:
+        """The counters as one line of JSON."""
+        return "counters " + json.dumps(dict(sorted(self.core.counters.items())))
+
+
+def log(text: str) -> None:
+    """Write to standard error, each line with the time and the program's name."""
+    stamp = time.strftime("%H:%M:%S")
+    for line in _lines(text):
+        print(f"{stamp} latchturn: {line}", file=sys.stderr, flush=True)
+
+
+def _lines(text: str) -> Iterator[str]:
+    yield from text.rstrip("\n").split("\n")
--- /dev/null
+++ b/latchturn/protocol.py
@@ -0,0 +1,471 @@
+"""The platform's protocol, as pure codecs: messages, command-channel frames and the configuration.
+
+Owns every byte layout and text form that the program meets outside the simulator's wire, and turns
+them into plain values and back. It must never open a socket, read a clock or keep state beyond the
+unread part of a byte stream, and it decides nothing: what cannot be read raises `ProtocolError`.
+"""
+
+from __future__ import annotations
+
+import json
+import struct
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from enum import IntEnum
+from pathlib import Path
+from typing import Any
+
+from .interface import ListEntry, ListKind, ListState
+
+MAX_MESSAGE = 16 * 1024
+MAX_FRAME = 4 * 1024 * 1024  # a whole list of 150,000 exchanges
+HEAD = struct.Struct(">HBQ")
+PARAMETER = struct.Struct(">BH")
+FRAME_HEAD = struct.Struct(">IQB")
+RECORD = struct.Struct(">I4sHBBBHIQ")
+CURSOR = struct.Struct(">Q")
+
+STATES = {0: ListState.READY, 1: ListState.DRAINING, 2: ListState.GONE}
+STATUSES = {"ready": ListState.READY, "draining": ListState.DRAINING, "gone": ListState.GONE}
+
+
+class ProtocolError(Exception):
+    """Input that does not follow the protocol."""
+
+
+class ConfigError(Exception):
+    """A configuration that cannot be used: what, and where in it."""
+
+
+class Type(IntEnum):
+    """Message types."""
+
+    SET_UP = 1
+    PROGRESS = 6
+    ANSWER = 9
+    RELEASE = 12
+    RELEASE_HEARD = 16
+    GROUP_STATE = 43
+    TEST = 52
+    TEST_RESULT = 53
+
+
+class Code(IntEnum):
+    """Parameter codes."""
+
+    CLASS = 129
+    WAIT_MS = 132
+    TENANT = 135
+    CALLED = 141
+    FIGURES = 144
+    STAY_AWAY_MS = 147
+    NOTE = 150
+    REPORT = 156
+    CAUSE = 171
+    DESCRIPTION = 174
+
+
+class ReleaseCause(IntEnum):
+    """Release causes, by their names in ITU-T Q.850."""
+
+    NORMAL = 16
+    USER_BUSY = 17
+    NO_CIRCUIT = 34
+    TEMPORARY_FAILURE = 41
+    CONGESTION = 42
+    RESOURCE_UNAVAILABLE = 47
+    TIMER_EXPIRY = 102
+
+
+@dataclass(slots=True, frozen=True)
+class SetUp:
+    """A call is to be set up. `figures` travel from callers only."""
+
+    call: int
+    class_name: str
+    wait_ms: int
+    called: str
+    description: bytes
+    figures: Mapping[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class Progress:
+    call: int
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    call: int
+    description: bytes
+    report: Mapping[str, float] | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Release:
+    """A refusal, a failure, a given-up set-up or the end of a call, as its place and cause tell."""
+
+    call: int
+    cause: int
+    note: str = ""
+    stay_away_ms: int = 0
+    report: Mapping[str, float] | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class ReleaseHeard:
+    call: int
+
+
+@dataclass(slots=True, frozen=True)
+class Test:
+    call: int
+
+
+@dataclass(slots=True, frozen=True)
+class TestResult:
+    call: int
+    passed: bool
+
+
+@dataclass(slots=True, frozen=True)
+class GroupState:
+    call: int
+    report: Mapping[str, float]
+
+
+@dataclass(slots=True, frozen=True)
+class Unknown:
+    """A message of a type that this program does not know; it is passed over."""
+
+    call: int
+    type: int
+
+
+Message = SetUp | Progress | Answer | Release | ReleaseHeard | Test | TestResult | GroupState | Unknown
+
+
+def encode(message: Message) -> bytes:
+    """The bytes of one message; ValueError if it would be too long."""
+    parameters: list[tuple[int, bytes]] = []
+    if isinstance(message, SetUp):
+        kind = Type.SET_UP
+        parameters = [
+            (Code.CLASS, message.class_name.encode()),
+            (Code.WAIT_MS, b"%d" % message.wait_ms),
+            (Code.CALLED, message.called.encode()),
+        ]
+        if message.figures:
+            parameters.append((Code.FIGURES, _join(message.figures)))
+        parameters.append((Code.DESCRIPTION, message.description))
+    elif isinstance(message, Answer):
+        kind = Type.ANSWER
+        parameters = [(Code.DESCRIPTION, message.description)]
+        if message.report is not None:
+            parameters.append((Code.REPORT, _join(message.report)))
+    elif isinstance(message, Release):
+        kind = Type.RELEASE
+        parameters = [(Code.CAUSE, bytes([message.cause]))]
+        if message.note:
+            parameters.append((Code.NOTE, message.note.encode()))
+        if message.stay_away_ms:
+            parameters.append((Code.STAY_AWAY_MS, b"%d" % message.stay_away_ms))
+        if message.report is not None:
+            parameters.append((Code.REPORT, _join(message.report)))
+    elif isinstance(message, GroupState):
+        kind, parameters = Type.GROUP_STATE, [(Code.REPORT, _join(message.report))]
+    elif isinstance(message, Test):
+        kind, parameters = Type.TEST, [(Code.CAUSE, b"\0")]
+    elif isinstance(message, TestResult):
+        kind, parameters = Type.TEST_RESULT, [(Code.CAUSE, bytes([message.passed]))]
+    elif isinstance(message, Progress):
+        kind = Type.PROGRESS
+    elif isinstance(message, ReleaseHeard):
+        kind = Type.RELEASE_HEARD
+    else:
+        raise ValueError(f"a message of unknown type {message.type} is not sent")
+    body = b"".join(PARAMETER.pack(code, len(value)) + value for code, value in parameters)
+    length = HEAD.size - 2 + len(body)
+    if length > MAX_MESSAGE:
+        raise ValueError(f"message of {length} bytes")
+    return HEAD.pack(length, kind, message.call) + body
+
+
+class MessageDecoder:
+    """Cuts a byte stream into messages, however it arrives; keeps at most one message unread."""
+
+    def __init__(self) -> None:
+        self._unread = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[Message]:
+        """The messages that `data` completes. Those before a malformed one come out before the error."""
+        self._unread += data
+        at = 0
+        try:
+            while len(self._unread) - at >= 2:
+                length = int.from_bytes(self._unread[at : at + 2], "big")
+                if not HEAD.size - 2 <= length <= MAX_MESSAGE:
+                    raise ProtocolError(f"message of {length} bytes")
+                if len(self._unread) - at < 2 + length:
+                    return
+                raw = bytes(self._unread[at : at + 2 + length])
+                at += len(raw)
+                yield _decode(raw)
+        finally:
+            del self._unread[:at]
+
+
+def _decode(raw: bytes) -> Message:
+    _, kind, call = HEAD.unpack_from(raw)
+    values: dict[int, bytes] = {}
+    at = HEAD.size
+    while at < len(raw):
+        if at + PARAMETER.size > len(raw):
+            raise ProtocolError("parameter cut short")
+        code, size = PARAMETER.unpack_from(raw, at)
+        at += PARAMETER.size
+        if at + size > len(raw):
+            raise ProtocolError(f"parameter {code} goes past its message")
+        values[code] = raw[at : at + size]
+        at += size
+    if kind == Type.SET_UP:
+        return SetUp(
+            call,
+            _text(values, Code.CLASS),
+            _number(values, Code.WAIT_MS),
+            _text(values, Code.CALLED),
+            values.get(Code.DESCRIPTION, b""),
+            {name: int(value) for name, value in _figures(values, Code.FIGURES).items()},
+        )
+    if kind == Type.PROGRESS:
+        return Progress(call)
+    if kind == Type.ANSWER:
+        return Answer(call, values.get(Code.DESCRIPTION, b""), _report(values))
+    if kind == Type.RELEASE:
+        note = _text(values, Code.NOTE) if Code.NOTE in values else ""
+        stay = _number(values, Code.STAY_AWAY_MS) if Code.STAY_AWAY_MS in values else 0
+        return Release(call, _cause(values), note, stay, _report(values))
+    if kind == Type.RELEASE_HEARD:
+        return ReleaseHeard(call)
+    if kind == Type.TEST:
+        return Test(call)
+    if kind == Type.TEST_RESULT:
+        return TestResult(call, _cause(values) == 1)
+    if kind == Type.GROUP_STATE:
+        return GroupState(call, _figures(values, Code.REPORT))
+    return Unknown(call, kind)
+
+
+def _text(values: Mapping[int, bytes], code: int) -> str:
+    if code not in values:
+        raise ProtocolError(f"parameter {int(code)} is missing")
+    try:
+        return values[code].decode()
+    except UnicodeDecodeError:
+        raise ProtocolError(f"parameter {int(code)} is not text") from None
+
+
+def _number(values: Mapping[int, bytes], code: int) -> int:
+    text = _text(values, code)
+    # isdecimal alone lets other scripts' digits through, and int() lets signs and underscores through.
+    if not (text.isascii() and text.isdecimal() and len(text) <= 18):
+        raise ProtocolError(f"parameter {int(code)} is no number: {text!r:.40}")
+    return int(text)
+
+
+def _cause(values: Mapping[int, bytes]) -> int:
+    value = values.get(Code.CAUSE, b"")
+    if len(value) != 1:
+        raise ProtocolError("a cause that is not one byte")
+    return value[0]
+
+
+def _figures(values: Mapping[int, bytes], code: int) -> dict[str, float]:
+    """Figures in the form `dest:2;width:1`."""
+    figures: dict[str, float] = {}
+    for part in _text(values, code).split(";"):
+        name, sign, value = part.partition(":")
+        try:
+            number = float(value) if sign else 0.0
+        except ValueError:
+            raise ProtocolError(f"figure {part!r:.40} cannot be read") from None
+        if abs(number) > 1e15 or number != number:
+            raise ProtocolError(f"figure {part!r:.40} cannot be")
+        if name:
+            figures[name] = number
+    return figures
+
+
+def _report(values: Mapping[int, bytes]) -> dict[str, float] | None:
+    return _figures(values, Code.REPORT) if Code.REPORT in values else None
+
+
+def _join(figures: Mapping[str, float]) -> bytes:
+    return ";".join(f"{name}:{value:g}" for name, value in figures.items()).encode()
+
+
+# --- the command channel ---
+
+
+@dataclass(slots=True, frozen=True)
+class Listed:
+    """One exchange as the command channel lists it, with the address at which it listens."""
+
+    entry: ListEntry
+    address: tuple[str, int]
+
+
+@dataclass(slots=True, frozen=True)
+class ListUpdate:
+    """One numbered event of the command channel; `kind` None is an empty frame."""
+
+    number: int
+    kind: ListKind | None
+    listed: tuple[Listed, ...] = ()
+
+
+class FrameDecoder:
+    """Cuts the command channel's byte stream into list updates."""
+
+    def __init__(self) -> None:
+        self._unread = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[ListUpdate]:
+        self._unread += data
+        at = 0
+        try:
+            while len(self._unread) - at >= 4:
+                length = int.from_bytes(self._unread[at : at + 4], "big")
+                if length != 0 and not FRAME_HEAD.size - 4 <= length <= MAX_FRAME:
+                    raise ProtocolError(f"frame of {length} bytes")
+                if len(self._unread) - at < 4 + length:
+                    return
+                raw = bytes(self._unread[at : at + 4 + length])
+                at += len(raw)
+                yield _decode_frame(raw)
+        finally:
+            del self._unread[:at]
+
+
+def _decode_frame(raw: bytes) -> ListUpdate:
+    if len(raw) == 4:
+        return ListUpdate(0, None)
+    _, number, kind = FRAME_HEAD.unpack_from(raw)
+    if kind == 0:
+        return ListUpdate(number, None)
+    if kind not in (1, 2):
+        raise ProtocolError(f"frame of unknown kind {kind}")
+    if (len(raw) - FRAME_HEAD.size) % RECORD.size:
+        raise ProtocolError("records that do not fill their frame")
+    listed = []
+    for ident, address, port, state, _zone, _kind, cell, _weight, started_ms in RECORD.iter_unpack(
+        raw[FRAME_HEAD.size :]
+    ):
+        if state not in STATES:
+            raise ProtocolError(f"exchange {ident} in unknown state {state}")
+        entry = ListEntry(ident, cell, STATES[state], started_ms * 1000)
+        listed.append(Listed(entry, (".".join(map(str, address)), port)))
+    return ListUpdate(number, ListKind.FULL if kind == 1 else ListKind.CHANGES, tuple(listed))
+
+
+def encode_cursor(number: int) -> bytes:
+    """What a client of the command channel writes first: the number of the last event it has."""
+    return CURSOR.pack(number)
+
+
+# --- the configuration ---
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    """What a session controller is told at its start. `settings` is in the form of `read_settings`."""
+
+    name: str
+    listen: tuple[str, int]
+    seed: int
+    sockets: int
+    channel: tuple[str, int]
+    cursor: int
+    known: tuple[ListUpdate, ...]
+    settings: str
+
+
+def read_config(path: str | Path) -> Config:
+    """The configuration in a file; ConfigError says what is wrong with it."""
+    try:
+        data = json.loads(Path(path).read_text())
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    try:
+        known = data["known"]
+        return Config(
+            name=str(data["name"]),
+            listen=parse_address(data["listen"]),
+            seed=int(str(data["seed"]), 16),
+            sockets=int(data["limits"]["sockets"]),
+            channel=parse_address(data["channel"]),
+            cursor=int(known["cursor"]),
+            known=tuple(_known_update(command) for command in known["cmds"]),
+            settings=flatten_settings(data["settings"]),
+        )
+    except KeyError as error:
+        raise ConfigError(f"{path}: {error.args[0]} is missing") from None
+    except (TypeError, ValueError, AttributeError, ProtocolError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+
+
+def _known_update(command: Mapping[str, Any]) -> ListUpdate:
+    nodes = command["nodes"]
+    listed = []
+    for endpoint in nodes["endpoints"]:
+        if endpoint["status"] not in STATUSES:
+            raise ValueError(f"unknown status {endpoint['status']!r}")
+        entry = ListEntry(
+            int(endpoint["name"].removeprefix("s-"), 16),
+            int(endpoint["group"]),
+            STATUSES[endpoint["status"]],
+            int(endpoint["since_ms"]) * 1000,
+        )
+        listed.append(Listed(entry, parse_address(endpoint["address"])))
+    kind = ListKind.FULL if nodes["snapshot"] else ListKind.CHANGES
+    return ListUpdate(int(command["cursor"]), kind, tuple(listed))
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Host and port of `host:port`."""
+    host, sign, port = text.rpartition(":")
+    if not (sign and host and port.isascii() and port.isdecimal() and int(port) < 65536):
+        raise ValueError(f"{text!r} is no address")
+    return host, int(port)
+
+
+def settings_word(text: str) -> str:
+    """A text value as the settings write it."""
+    return text.replace(" ", "_").replace(",", "_")
+
+
+def flatten_settings(settings: Mapping[str, Any]) -> str:
+    """Nested settings as the simulator's wire writes them: path=value, one a line."""
+    if not isinstance(settings, Mapping):
+        raise ValueError("settings is no object")
+    return "".join(f"{path}={value}\n" for path, value in _flat("", settings))
+
+
+def _flat(path: str, value: Any) -> Iterator[tuple[str, str]]:
+    if isinstance(value, Mapping):
+        for key, inner in value.items():
+            yield from _flat(f"{path}.{key}" if path else key, inner)
+    elif isinstance(value, list) and any(isinstance(item, Mapping | list) for item in value):
+        yield f"{path}.count", str(len(value))
+        for k, item in enumerate(value):
+            yield from _flat(f"{path}.{k}", item)
+    elif isinstance(value, list):
+        yield path, ",".join(_word(item) for item in value)
+    else:
+        yield path, _word(value)
+
+
+def _word(value: Any) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    return "" if value is None else settings_word(str(value))
--- /dev/null
+++ b/latchturn/session.py
@@ -0,0 +1,954 @@
+"""The one reducer: what has happened goes in with its time, what is to be done comes out.
+
+Owns every call, attempt and standing call, the table of exchanges and the links to them, the timers
+and the counters, and the translation between messages and the decision module. All state changes
+here. It must never touch a socket, a clock or a byte layout, and it takes no decision of the
+module's: it only keeps the rules that hold whatever the module asks for.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+import traceback
+from collections import Counter, deque
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+from . import interface as i
+from .benchlink import REPORT_FIELDS, read_report
+from .brain import Controller
+from .protocol import (
+    Answer,
+    GroupState,
+    ListUpdate,
+    Message,
+    Progress,
+    Release,
+    ReleaseCause,
+    ReleaseHeard,
+    SetUp,
+    Test,
+    TestResult,
+    settings_word,
+)
+
+SECOND = 1_000_000
+DEADLINE_MARGIN_US = 50_000  # the module's deadline lies before the caller's: a busy machine is late
+OVERDUE_US = 15_000  # past the module's deadline the call is failed here
+STANDING_RELEASE_US = 8 * SECOND  # a release that could not be sent for so long is dropped
+RESEND_US = SECOND  # a release written so lately on a connection that closes is sent on another
+STUCK_US = 2 * SECOND  # a write that takes longer has a vanished peer
+GIVE_UP_STUCK_US = 50_000  # a give-up that has not left by then takes its link along
+SILENT_US = 6 * SECOND  # no link comes up for so long: the exchange's standing calls are over
+SWEEP_US = SECOND // 4
+FORGET_US = 60 * SECOND  # ids of ended calls are kept so long, to know late messages
+MAX_OUTBOX = 2000  # messages
+WRITE_BATCH = 100  # messages
+SLOTS = 4  # links to one exchange: one is always kept, the others serve further attempts of a call
+RECONNECT_FIRST_US = 50_000
+RECONNECT_MOST_US = SECOND
+DESCRIPTORS_KEPT = 64  # for the interpreter, the listener, the channel and connections being closed
+MAX_WAIT_MS = 3_600_000
+TERM_QUIET_US = 700_000  # set-ups may come so long after SIGTERM
+TERM_MOST_US = 3_500_000  # SIGKILL may come 3.7 s after SIGTERM
+
+NOTES = {
+    "no_circuit": i.Cause.NO_CIRCUIT,
+    "turned_back": i.Cause.TURNED_BACK,
+    "far_overload": i.Cause.FAR_PROCESSOR_FULL,
+    "overload": i.Cause.PROCESSOR_FULL,
+    "lines_busy": i.Cause.NUMBER_BUSY,
+}
+OUTCOMES = {  # of a release before the answer
+    ReleaseCause.NO_CIRCUIT: i.Outcome.TURNED_AWAY,
+    ReleaseCause.TIMER_EXPIRY: i.Outcome.NOT_SENT,
+    ReleaseCause.TEMPORARY_FAILURE: i.Outcome.CUT,
+    ReleaseCause.NORMAL: i.Outcome.CANCELLED,
+}
+
+
+# --- what has happened. Streams are connections: those accepted are numbered from 1 up by the caller of
+# `step`, links to exchanges from -1 down by the reducer. ---
+
+
+@dataclass(slots=True, frozen=True)
+class Started:
+    """The program runs; the list of exchanges as the configuration holds it."""
+
+    known: tuple[ListUpdate, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Accepted:
+    stream: int
+
+
+@dataclass(slots=True, frozen=True)
+class Heard:
+    stream: int
+    message: Message
+
+
+@dataclass(slots=True, frozen=True)
+class Garbled:
+    """Input that cannot be read; nothing more is read from the stream."""
+
+    stream: int
+    reason: str
+
+
+@dataclass(slots=True, frozen=True)
+class Ended:
+    """The peer sends no more, but may still read."""
+
+    stream: int
+
+
+@dataclass(slots=True, frozen=True)
+class Closed:
+    stream: int
+
+
+@dataclass(slots=True, frozen=True)
+class Connected:
+    stream: int
+
+
+@dataclass(slots=True, frozen=True)
+class ConnectFailed:
+    stream: int
+    refused: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Wrote:
+    """The last `Write` on the stream is through."""
+
+    stream: int
+
+
+@dataclass(slots=True, frozen=True)
+class ListTold:
+    update: ListUpdate
+
+
+@dataclass(slots=True, frozen=True)
+class Tick:
+    """A timer may be due."""
+
+
+@dataclass(slots=True, frozen=True)
+class Terminate:
+    """The program is to finish what it has taken, then end."""
+
+
+Input = (
+    Started | Accepted | Heard | Garbled | Ended | Closed | Connected | ConnectFailed | Wrote | ListTold
+    | Tick | Terminate
+)  # fmt: skip
+
+
+# --- what is to be done ---
+
+
+@dataclass(slots=True, frozen=True)
+class Connect:
+    stream: int
+    address: tuple[str, int]
+    timeout_us: int
+
+
+@dataclass(slots=True, frozen=True)
+class Write:
+    """Write the messages; no other write on the stream is asked for until `Wrote`."""
+
+    stream: int
+    messages: tuple[Message, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Close:
+    stream: int
+
+
+@dataclass(slots=True, frozen=True)
+class Log:
+    text: str
+
+
+@dataclass(slots=True, frozen=True)
+class Exit:
+    pass
+
+
+Effect = Connect | Write | Close | Log | Exit
+
+
+# --- state ---
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """A call from its set-up to its final answer, or to its end if it stood."""
+
+    set_up: SetUp
+    caller: int  # stream
+    deadline_us: int
+    attempts: int = 0
+    attempt: Attempt | None = None
+    stood_us: int = 0
+    stands_at: int | None = None  # exchange
+    used: set[tuple[int, int]] = field(default_factory=set)  # exchange and slot of earlier attempts
+
+    @property
+    def ident(self) -> int:
+        return self.set_up.call
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """A set-up that is on its way to an exchange or waits there for its answer."""
+
+    call: Call
+    number: int
+    link: Link
+    started_us: int
+    due_us: int
+    sent: bool = False  # its bytes have begun to leave
+    given_up: bool = False  # timed out, the give-up is about to be written
+
+
+@dataclass(slots=True, frozen=True)
+class GiveUpDue:
+    """Outbox item: the give-up of an attempt that timed out; the attempt ends once it is written."""
+
+    attempt: Attempt
+
+
+Outgoing = Message | Attempt | GiveUpDue
+
+
+@dataclass(slots=True, eq=False)
+class Stream:
+    """One connection: what waits to be written, and the releases of standing calls written lately."""
+
+    ident: int
+    up: bool = False
+    outbox: deque[Outgoing] = field(default_factory=deque)
+    in_flight: list[Outgoing] = field(default_factory=list)
+    write_began_us: int = 0
+    unheard: dict[int, tuple[int, Release]] = field(default_factory=dict)  # call -> when written, what
+
+
+@dataclass(slots=True, eq=False)
+class Caller(Stream):
+    owed: set[int] = field(default_factory=set)  # calls set up on it that have no final answer
+    finishing: bool = False  # nothing more is read; it is closed once all answers are written
+    active_us: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Link(Stream):
+    exchange: int = 0
+    slot: int = 0
+    attempts: set[Attempt] = field(default_factory=set)
+
+
+@dataclass(slots=True, eq=False)
+class Exchange:
+    """A far exchange as the list has it, and its links by slot."""
+
+    ident: int
+    number: int
+    state: i.ListState
+    started_us: int
+    address: tuple[str, int]
+    links: dict[int, Link] = field(default_factory=dict)
+    failures: int = 0  # connections in a row that came to nothing
+    retry_us: int = 0
+    down_us: int = 0  # since when no link is up, 0 while one is
+    standing: set[int] = field(default_factory=set)
+    unsent: list[tuple[int, Release]] = field(default_factory=list)  # releases that wait for a link
+
+
+class TimerKind(Enum):
+    MODULE = auto()  # a token of the module's
+    DEADLINE = auto()  # of a call
+    ATTEMPT = auto()  # time-out
+    GIVE_UP = auto()  # its bytes should have left
+    RECONNECT = auto()  # to an exchange
+    SWEEP = auto()
+    TERM = auto()
+
+
+class Session:
+    """The state of one session controller."""
+
+    def __init__(self, settings: i.Settings, seed: int, sockets: int) -> None:
+        self.settings = settings
+        self.sockets = sockets
+        self.counters: Counter[str] = Counter()
+        self.calls: dict[int, Call] = {}
+        self.exchanges: dict[int, Exchange] = {}
+        self.callers: dict[int, Caller] = {}
+        self.links: dict[int, Link] = {}
+        self._controller = Controller(settings, seed)
+        self._random = random.Random(seed)
+        self._classes = {settings_word(c.name): k for k, c in enumerate(settings.classes)}
+        self._now = 0
+        self._effects: list[Effect] = []
+        self._events: deque[i.Event] = deque()  # on their way to the module
+        self._ready: dict[int, Stream] = {}  # streams with something to write
+        self._timers: list[tuple[int, int, TimerKind, object]] = []
+        self._timer_count = 0
+        self._next_link = -1
+        self._cursor = 0
+        self._over: dict[int, tuple[int, bool]] = {}  # ended calls -> forgotten when, and whether they stood
+        self._unsent: list[tuple[int, Release]] = []  # releases that wait for a caller
+        self._term_us = 0
+
+    # --- the outside ---
+
+    def step(self, now_us: int, happened: Input) -> list[Effect]:
+        """Take in one input; the effects are to be run in their order."""
+        self._now = max(self._now, now_us)  # guards the module against a clock that is set back
+        self._effects = []
+        call = happened.message.call if isinstance(happened, Heard) else 0
+        self._guarded(lambda: self._take(happened), call)
+        self._run_timers()
+        self._settle()
+        if self._term_us and self._finished():
+            self._effects.append(Exit())
+        return self._effects
+
+    def wake_us(self) -> int | None:
+        """When the next timer is due."""
+        return self._timers[0][0] if self._timers else None
+
+    @property
+    def cursor(self) -> int:
+        """The number of the last event of the command channel that was taken in."""
+        return self._cursor
+
+    # --- the machinery ---
+
+    def _guarded(self, work: Callable[[], None], call: int) -> None:
+        """Guards against faults of our own: one event's fault must not end the others' calls."""
+        try:
+            work()
+        except Exception:  # noqa: BLE001
+            self.counters["errors"] += 1
+            self._log(f"fault, call {call:016x}: {traceback.format_exc()}")
+            if call in self.calls and self.calls[call].stands_at is None:
+                self._fail(self.calls[call])
+
+    def _take(self, happened: Input) -> None:
+        match happened:
+            case Heard(stream, message):
+                if stream in self.links:
+                    self._from_exchange(self.links[stream], message)
+                elif stream in self.callers:
+                    self._from_caller(self.callers[stream], message)
+            case Wrote(stream):
+                self._wrote(stream)
+            case Tick():
+                pass
+            case Accepted(stream):
+                self._accepted(stream)
+            case Garbled(stream, reason):
+                self.counters["garbled"] += 1
+                self._log(f"stream {stream} closed: {reason}")
+                self._peer_done(stream)
+            case Ended(stream):
+                self._peer_done(stream)
+            case Closed(stream):
+                if stream in self.links:
+                    self._lose_link(self.links[stream])
+                elif stream in self.callers:
+                    self._lose_caller(self.callers[stream])
+            case Connected(stream):
+                self._connected(stream)
+            case ConnectFailed(stream, refused):
+                self._connect_failed(stream, refused)
+            case ListTold(update):
+                self._list_told(update)
+            case Started(known):
+                self._started(known)
+            case Terminate():
+                if not self._term_us:
+                    self._term_us = self._now
+                    self._set_timer(TERM_QUIET_US, TimerKind.TERM)
+                    self._set_timer(TERM_MOST_US, TimerKind.TERM)
+
+    def _settle(self) -> None:
+        """Let the module answer all that came up, then write."""
+        while self._events or self._ready:
+            if self._events:
+                event = self._events.popleft()
+                self._guarded(lambda e=event: self._decide(e), getattr(event, "call", 0))  # type: ignore[misc]
+            else:
+                _, stream = self._ready.popitem()
+                self._flush(stream)
+
+    def _set_timer(self, delay_us: int, kind: TimerKind, what: object = None) -> None:
+        self._timer_count += 1
+        heapq.heappush(self._timers, (self._now + delay_us, self._timer_count, kind, what))
+
+    def _run_timers(self) -> None:
+        while self._timers and self._timers[0][0] <= self._now:
+            _, _, kind, what = heapq.heappop(self._timers)
+            self._guarded(lambda k=kind, w=what: self._due(k, w), 0)  # type: ignore[misc]
+            self._settle()  # what the module answers to one timer may end what the next is about
+
+    def _due(self, kind: TimerKind, what: object) -> None:
+        if kind is TimerKind.MODULE and isinstance(what, int):
+            self._events.append(i.TimerDue(what))
+        elif kind is TimerKind.DEADLINE and isinstance(what, Call):
+            if self.calls.get(what.ident) is what and what.stands_at is None:
+                self.counters["overdue"] += 1
+                self._fail(what)
+        elif kind is TimerKind.ATTEMPT and isinstance(what, Attempt):
+            if what.call.attempt is what:
+                self._timed_out(what)
+        elif kind is TimerKind.GIVE_UP and isinstance(what, Attempt):
+            if what.call.attempt is what:
+                self._drop(what.link)
+        elif kind is TimerKind.RECONNECT and isinstance(what, Exchange):
+            self._keep_link(what)
+        elif kind is TimerKind.SWEEP:
+            self._sweep()
+
+    def _log(self, text: str) -> None:
+        self._effects.append(Log(text))
+
+    def _finished(self) -> bool:
+        """After SIGTERM: whether all that was taken is answered, and nothing new can come in."""
+        since = self._now - self._term_us
+        busy = any(c.owed or c.outbox or c.in_flight for c in self.callers.values())
+        return since >= TERM_MOST_US or (since >= TERM_QUIET_US and not busy)
+
+    # --- the module ---
+
+    def _decide(self, event: i.Event) -> None:
+        for action in self._controller.handle(self._now, event):
+            if isinstance(action, i.SendSetup):
+                self._send_set_up(action)
+            elif isinstance(action, i.Refuse):
+                stay_ms = -(-action.stay_away_us // 1000)
+                self._final(action.call, Release(action.call, ReleaseCause.CONGESTION, stay_away_ms=stay_ms))
+            elif isinstance(action, i.GiveUp):
+                self._final(action.call, Release(action.call, ReleaseCause.TEMPORARY_FAILURE))
+            elif isinstance(action, i.SetTimer):
+                self._set_timer(action.delay_us, TimerKind.MODULE, action.token)
+            elif isinstance(action, i.Log):
+                self._log(action.text)
+            # Follow asks for nothing: the command channel is always followed.
+
+    def _send_set_up(self, action: i.SendSetup) -> None:
+        call = self.calls.get(action.call)
+        if call is None or call.stands_at is not None or call.attempt is not None:
+            raise RuntimeError("the module sent a set-up for a call that may have none")
+        exchange = self.exchanges[action.exchange]
+        number = call.attempts
+        call.attempts += 1
+        # An attempt gets a link of its own among the call's attempts at an exchange: the id is the same on
+        # each, so a late answer to an earlier one could not be told from its own.
+        slot = next((k for k in range(SLOTS) if (exchange.ident, k) not in call.used), None)
+        if slot is None or exchange.state is not i.ListState.READY:
+            self._events.append(
+                i.AttemptEnded(call.ident, number, exchange.ident, i.Outcome.NOT_SENT, 0, False)
+            )
+            return
+        call.used.add((exchange.ident, slot))
+        link = exchange.links.get(slot) or self._connect(exchange, slot)
+        timeout = action.timeout_us or call.deadline_us - self._now
+        due = min(self._now + timeout, call.deadline_us)
+        call.attempt = Attempt(call, number, link, self._now, due)
+        link.attempts.add(call.attempt)
+        self.counters["attempts"] += 1
+        self._set_timer(due - self._now, TimerKind.ATTEMPT, call.attempt)
+        self._queue(link, call.attempt)
+
+    def _timed_out(self, attempt: Attempt) -> None:
+        if not attempt.sent:
+            self._end_attempt(attempt, i.Outcome.UNREACHABLE)
+            return
+        # The give-up leaves before the module hears of the time-out, so that no two attempts are ever out.
+        attempt.given_up = True
+        self._queue(attempt.link, GiveUpDue(attempt))
+        self._set_timer(GIVE_UP_STUCK_US, TimerKind.GIVE_UP, attempt)
+
+    def _end_attempt(
+        self,
+        attempt: Attempt,
+        outcome: i.Outcome,
+        concluded: bool = False,
+        cause: i.Cause = i.Cause.NONE,
+        report: i.Report | None = None,
+    ) -> None:
+        call = attempt.call
+        attempt.link.attempts.discard(attempt)
+        call.attempt = None
+        self.counters[f"attempts_{outcome.name.lower()}"] += 1
+        self._events.append(
+            i.AttemptEnded(
+                call.ident, attempt.number, attempt.link.exchange, outcome,
+                self._now - attempt.started_us, concluded, cause, 0, report,
+            )
+        )  # fmt: skip
+
+    # --- calls ---
+
+    def _offer(self, caller: Caller, set_up: SetUp) -> None:
+        self.counters["set_ups"] += 1
+        if set_up.call in self.calls:
+            # Guards against a repeated set-up: its call gets one answer.
+            self.counters["set_ups_repeated"] += 1
+            return
+        figures = set_up.figures
+        wait_us = min(set_up.wait_ms, MAX_WAIT_MS) * 1000
+        deadline = self._now + wait_us - min(DEADLINE_MARGIN_US, wait_us // 10)
+        call = self.calls[set_up.call] = Call(set_up, caller.ident, deadline)
+        caller.owed.add(set_up.call)
+        self._over.pop(set_up.call, None)
+        self._set_timer(deadline + OVERDUE_US - self._now, TimerKind.DEADLINE, call)
+        try:
+            called = int(set_up.called, 16)
+        except ValueError:
+            called = 0
+        self._events.append(
+            i.CallOffered(
+                call=set_up.call,
+                class_index=self._classes.get(settings_word(set_up.class_name), -1),
+                destination=figures.get("dest", -1),
+                called=called,
+                width=max(1, figures.get("width", 1)),
+                deadline_us=deadline,
+                transit=figures.get("transit", 0) == 1,
+                cut_before=figures.get("again", 0) == 1,
+                advised=figures.get("via", -1),
+            )
+        )
+
+    def _final(self, ident: int, message: Answer | Release) -> None:
+        """Give a call its one final answer."""
+        call = self.calls.get(ident)
+        if call is None or call.stands_at is not None:
+            return
+        caller = self.callers[call.caller]
+        caller.owed.discard(ident)
+        if isinstance(message, Answer):
+            self.counters["answers"] += 1
+        else:
+            refused = message.cause == ReleaseCause.CONGESTION
+            self.counters["refusals" if refused else "failures"] += 1
+            self._forget(call)
+        self._queue(caller, message)
+
+    def _fail(self, call: Call) -> None:
+        """Fail a call over the module's head, cleanly towards all sides."""
+        self._final(call.ident, Release(call.ident, ReleaseCause.TEMPORARY_FAILURE))
+        self._leave(call)
+
+    def _leave(self, call: Call) -> None:
+        """Nothing is owed to the caller any more: tell the module, and give up what is out."""
+        self._forget(call)
+        self._events.append(i.CallerLeft(call.ident))
+        if (attempt := call.attempt) is not None:
+            if attempt.sent and not attempt.given_up:
+                self._queue(attempt.link, Release(call.ident, ReleaseCause.NORMAL))
+            self._end_attempt(attempt, i.Outcome.CANCELLED, concluded=True)
+
+    def _forget(self, call: Call) -> None:
+        self.calls.pop(call.ident, None)
+        if call.caller in self.callers:
+            self.callers[call.caller].owed.discard(call.ident)
+        self._remember_ended(call.ident, call.stands_at is not None)
+
+    def _remember_ended(self, ident: int, stood: bool) -> None:
+        self._over.pop(ident, None)
+        self._over[ident] = self._now + FORGET_US, stood
+
+    def _end_standing(self, call: Call, outcome: i.Outcome, report: i.Report | None = None) -> None:
+        """A call that stood is over."""
+        at = call.stands_at
+        assert at is not None
+        self.exchanges[at].standing.discard(call.ident)
+        self._forget(call)
+        self.counters[f"calls_{outcome.name.lower()}"] += 1
+        self._events.append(
+            i.AttemptEnded(
+                call.ident, call.attempts - 1, at, outcome, self._now - call.stood_us, True, report=report
+            )
+        )
+
+    def _cut(self, exchange: Exchange, before_us: int, why: str) -> None:
+        """The calls that stood at an exchange before a moment are over, though it cannot say so."""
+        cut = [self.calls[k] for k in sorted(exchange.standing) if self.calls[k].stood_us < before_us]
+        if cut:
+            self._log(f"exchange {exchange.number} {why}: {len(cut)} standing calls are over")
+        for call in cut:
+            self._end_standing(call, i.Outcome.CUT)
+            self._release_to_caller(call.caller, Release(call.ident, ReleaseCause.TEMPORARY_FAILURE))
+
+    # --- callers ---
+
+    def _accepted(self, stream: int) -> None:
+        self.counters["callers_accepted"] += 1
+        most = self.sockets - DESCRIPTORS_KEPT - SLOTS * len(self.exchanges)
+        if len(self.callers) >= most:
+            # Guards the descriptor limit: the connection longest unused makes room, else the new one.
+            self.counters["callers_over_budget"] += 1
+            idle = [c for c in self.callers.values() if not (c.owed or c.outbox or c.in_flight)]
+            if not idle:
+                self._effects.append(Close(stream))
+                return
+            self._drop(min(idle, key=lambda c: c.active_us))
+        caller = self.callers[stream] = Caller(stream, up=True, active_us=self._now)
+        unsent, self._unsent = self._unsent, []
+        for expires, release in unsent:
+            if expires > self._now:
+                self._queue(caller, release)
+
+    def _from_caller(self, caller: Caller, message: Message) -> None:
+        caller.active_us = self._now
+        if isinstance(message, SetUp):
+            self._offer(caller, message)
+        elif isinstance(message, Release):
+            call = self.calls.get(message.call)
+            if call is None:
+                self.counters["late_messages"] += 1
+            elif call.stands_at is None:
+                self.counters["callers_gave_up"] += 1
+                self._leave(call)
+            else:
+                exchange = self.exchanges[call.stands_at]
+                self._end_standing(call, i.Outcome.CANCELLED)
+                self._release_to_exchange(exchange, Release(call.ident, message.cause))
+                self._queue(caller, ReleaseHeard(call.ident))
+        elif isinstance(message, ReleaseHeard):
+            caller.unheard.pop(message.call, None)
+        elif isinstance(message, Test):
+            self._queue(caller, TestResult(message.call, True))
+        else:
+            self.counters["messages_passed_over"] += 1
+
+    def _release_to_caller(self, preferred: int, release: Release) -> None:
+        """Send the release of a call that stood on any open connection, or keep it for the next one."""
+        self.counters["releases_to_callers"] += 1
+        caller = self.callers.get(preferred)
+        if caller is None or caller.finishing:
+            open_ = [c for c in self.callers.values() if not c.finishing]
+            caller = max(open_, key=lambda c: c.active_us) if open_ else None
+        if caller is None:
+            self._unsent.append((self._now + STANDING_RELEASE_US, release))
+        else:
+            self._queue(caller, release)
+
+    def _lose_caller(self, caller: Caller) -> None:
+        """The connection is closed: what was owed on it is owed no more, releases go another way."""
+        del self.callers[caller.ident]
+        for ident in list(caller.owed):
+            self.counters["callers_vanished"] += 1
+            self._leave(self.calls[ident])
+        for release in self._unfinished_releases(caller):
+            self._release_to_caller(0, release)
+
+    def _unfinished_releases(self, stream: Stream) -> list[Release]:
+        """Releases of calls that stood which a closed connection has perhaps not carried."""
+        waiting = [m for m in (*stream.in_flight, *stream.outbox) if isinstance(m, Release)]
+        lately = [m for at, m in stream.unheard.values() if at > self._now - RESEND_US]
+        releases = {m.call: m for m in (*lately, *waiting)}
+        return [m for ident, m in releases.items() if self._over.get(ident, (0, False))[1]]
+
+    def _peer_done(self, stream: int) -> None:
+        """Nothing more comes in on a stream. A caller still gets the answers that it is owed."""
+        if stream in self.links:
+            self._drop(self.links[stream])
+        elif stream in self.callers:
+            caller = self.callers[stream]
+            caller.finishing = True
+            self._close_if_finished(caller)
+
+    def _close_if_finished(self, caller: Caller) -> None:
+        if caller.finishing and not (caller.owed or caller.outbox or caller.in_flight):
+            self._drop(caller)
+
+    # --- exchanges ---
+
+    def _started(self, known: Iterable[ListUpdate]) -> None:
+        self._set_timer(SWEEP_US, TimerKind.SWEEP)
+        for update in known:
+            self._list_told(update)
+
+    def _list_told(self, update: ListUpdate) -> None:
+        if update.kind is None or (update.number <= self._cursor and update.kind is not i.ListKind.FULL):
+            return
+        self._cursor = max(self._cursor, update.number)
+        named = set()
+        for listed in update.listed:
+            entry = listed.entry
+            named.add(entry.exchange)
+            known = self.exchanges.get(entry.exchange)
+            if known is None:
+                known = self.exchanges[entry.exchange] = Exchange(
+                    entry.exchange, entry.number, entry.state, entry.started_us, listed.address
+                )
+            if entry.started_us > known.started_us:
+                self._cut(known, entry.started_us, "has started anew")
+            known.state, known.started_us = entry.state, entry.started_us
+            if listed.address != known.address:
+                known.address = listed.address
+                for link in list(known.links.values()):
+                    self._drop(link)
+        if update.kind is i.ListKind.FULL:
+            for known in self.exchanges.values():
+                if known.ident not in named:
+                    known.state = i.ListState.GONE
+        self.counters["list_updates"] += 1
+        self._events.append(i.ExchangeList(update.kind, [listed.entry for listed in update.listed]))
+        for exchange in self.exchanges.values():
+            if exchange.state is i.ListState.GONE:
+                self._cut(exchange, self._now + 1, "is gone")
+                for link in list(exchange.links.values()):
+                    self._drop(link)
+            else:
+                self._keep_link(exchange)
+
+    def _usable(self, exchange: Exchange) -> bool:
+        own = self.settings.shape is i.Shape.MESH and exchange.number == self.settings.own_number
+        return exchange.state is not i.ListState.GONE and not own
+
+    def _keep_link(self, exchange: Exchange) -> None:
+        """Have one link to every exchange that can be used: group states come on open links alone."""
+        if self._usable(exchange) and 0 not in exchange.links:
+            if self._now >= exchange.retry_us:
+                self._connect(exchange, 0)
+            else:
+                self._set_timer(exchange.retry_us - self._now, TimerKind.RECONNECT, exchange)
+
+    def _connect(self, exchange: Exchange, slot: int) -> Link:
+        link = Link(self._next_link, exchange=exchange.ident, slot=slot)
+        self._next_link -= 1
+        self.links[link.ident] = exchange.links[slot] = link
+        if not any(other.up for other in exchange.links.values()):
+            exchange.down_us = exchange.down_us or self._now
+        self.counters["connects"] += 1
+        self._effects.append(Connect(link.ident, exchange.address, self.settings.connect_timeout_us))
+        return link
+
+    def _connected(self, stream: int) -> None:
+        link = self.links.get(stream)
+        if link is None:
+            self._effects.append(Close(stream))
+            return
+        link.up = True
+        exchange = self.exchanges[link.exchange]
+        exchange.down_us = 0
+        unsent, exchange.unsent = exchange.unsent, []
+        for expires, release in unsent:
+            if expires > self._now:
+                self._queue(link, release)
+        self._ready[link.ident] = link
+
+    def _connect_failed(self, stream: int, refused: bool) -> None:
+        link = self.links.get(stream)
+        if link is None:
+            return
+        self.counters["connects_refused" if refused else "connects_timed_out"] += 1
+        exchange = self.exchanges[link.exchange]
+        self._lose_link(link)
+        if refused and not any(other.up for other in exchange.links.values()):
+            # Nothing listens: the process has died, and its calls with it.
+            self._cut(exchange, self._now + 1, "refuses connections")
+
+    def _lose_link(self, link: Link) -> None:
+        """The link is closed, and with that the set-ups on it are given up."""
+        exchange = self.exchanges[link.exchange]
+        del self.links[link.ident]
+        del exchange.links[link.slot]
+        for attempt in sorted(link.attempts, key=lambda a: a.call.ident):
+            if not attempt.sent:
+                self._end_attempt(attempt, i.Outcome.UNREACHABLE)
+            else:
+                self._end_attempt(attempt, i.Outcome.TIMED_OUT if attempt.given_up else i.Outcome.CUT)
+        for release in self._unfinished_releases(link):
+            self._release_to_exchange(exchange, release)
+        if not any(other.up for other in exchange.links.values()):
+            exchange.down_us = exchange.down_us or self._now
+        # The first reconnect follows at once: a refusal tells at once that the process has died.
+        pause = 0
+        if exchange.failures:
+            pause = min(RECONNECT_MOST_US, RECONNECT_FIRST_US << min(exchange.failures, 10))
+        exchange.failures += 1
+        exchange.retry_us = self._now + int(pause * self._random.uniform(0.5, 1.0))
+        self._keep_link(exchange)
+
+    def _release_to_exchange(self, exchange: Exchange, release: Release) -> None:
+        """Send the release of a call that stood on any open link, or keep it for the next one."""
+        link = next((k for k in exchange.links.values() if k.up), None)
+        if link is not None:
+            self._queue(link, release)
+        elif exchange.state is not i.ListState.GONE:
+            exchange.unsent.append((self._now + STANDING_RELEASE_US, release))
+
+    def _from_exchange(self, link: Link, message: Message) -> None:
+        exchange = self.exchanges[link.exchange]
+        exchange.failures = 0
+        call = self.calls.get(message.call)
+        attempt = call.attempt if call is not None else None
+        if attempt is not None and (attempt.link is not link or attempt.given_up or not attempt.sent):
+            attempt = None
+        if isinstance(message, Answer):
+            self._answered(exchange, link, message, attempt)
+        elif isinstance(message, Release):
+            self._released(exchange, link, message, attempt)
+        elif isinstance(message, GroupState):
+            self._tell_report(exchange, message.report)
+        elif isinstance(message, ReleaseHeard):
+            link.unheard.pop(message.call, None)
+        elif isinstance(message, Test):
+            self._queue(link, TestResult(message.call, True))
+        elif not isinstance(message, Progress):
+            self.counters["messages_passed_over"] += 1
+
+    def _tell_report(self, exchange: Exchange, figures: Mapping[str, float]) -> None:
+        self._events.append(i.ExchangeReport(exchange.ident, True, False, 0, _report(figures)))
+
+    def _answered(self, exchange: Exchange, link: Link, answer: Answer, attempt: Attempt | None) -> None:
+        if attempt is None:
+            # An answer to an attempt that was given up is released, not passed on. Where the same call has
+            # an attempt out or stands at this exchange, the give-up alone does that: a release would end it.
+            self.counters["late_answers"] += 1
+            call = self.calls.get(answer.call)
+            at = None
+            if call is not None:
+                at = call.attempt.link.exchange if call.attempt is not None else call.stands_at
+            if at != exchange.ident:
+                self._queue(link, Release(answer.call, ReleaseCause.NORMAL))
+            return
+        call = attempt.call
+        link.attempts.discard(attempt)
+        call.attempt = None
+        self.counters["attempts_answered"] += 1
+        self._final(call.ident, Answer(call.ident, answer.description))
+        call.stands_at, call.stood_us = exchange.ident, self._now
+        exchange.standing.add(call.ident)
+        self._events.append(
+            i.CallStands(call.ident, attempt.number, exchange.ident, self._now - attempt.started_us)
+        )
+        if answer.report is not None:
+            self._tell_report(exchange, answer.report)
+
+    def _released(self, exchange: Exchange, link: Link, release: Release, attempt: Attempt | None) -> None:
+        report = None if release.report is None else _report(release.report)
+        call = self.calls.get(release.call)
+        if attempt is not None:
+            outcome = OUTCOMES.get(release.cause, i.Outcome.NO_LINE)  # type: ignore[call-overload]
+            self._end_attempt(attempt, outcome, cause=NOTES.get(release.note, i.Cause.NONE), report=report)
+        elif call is not None and call.stands_at == exchange.ident:
+            over = release.cause == ReleaseCause.NORMAL
+            self._end_standing(call, i.Outcome.RELEASED if over else i.Outcome.CUT, report)
+            self._release_to_caller(call.caller, Release(call.ident, release.cause))
+            self._queue(link, ReleaseHeard(call.ident))
+        else:
+            if report is not None:
+                self._events.append(i.ExchangeReport(exchange.ident, True, False, 0, report))
+            self.counters["late_messages"] += 1
+            ended = (ReleaseCause.NORMAL, ReleaseCause.TEMPORARY_FAILURE)
+            if call is None and release.call not in self._over and release.cause in ended:
+                # The call stood before this program was started anew; its caller still has to hear.
+                self._remember_ended(release.call, True)
+                self._release_to_caller(0, Release(release.call, release.cause))
+
+    # --- writing ---
+
+    def _queue(self, stream: Stream, item: Outgoing) -> None:
+        stream.outbox.append(item)
+        self._ready[stream.ident] = stream
+
+    def _flush(self, stream: Stream) -> None:
+        """Ask for the next write, if none is under way. What is stale by now does not leave."""
+        if not stream.up or stream.in_flight:
+            if len(stream.outbox) > MAX_OUTBOX:
+                self._log(f"stream {stream.ident} takes nothing in")
+                self._drop(stream)
+            return
+        messages: list[Message] = []
+        while stream.outbox and len(messages) < WRITE_BATCH:
+            item = stream.outbox.popleft()
+            message: Message | None
+            if isinstance(item, Attempt):
+                message = self._set_up(item)
+            elif isinstance(item, GiveUpDue):
+                message = Release(item.attempt.call.ident, ReleaseCause.NORMAL)
+            else:
+                message = item
+            if message is None:
+                continue
+            messages.append(message)
+            stream.in_flight.append(item)
+        if messages:
+            stream.write_began_us = self._now
+            self._effects.append(Write(stream.ident, tuple(messages)))
+
+    def _set_up(self, attempt: Attempt) -> SetUp | None:
+        """The set-up of an attempt as its bytes leave, if it still may."""
+        call = attempt.call
+        if call.attempt is not attempt or self._now >= attempt.due_us:
+            return None
+        if self.exchanges[attempt.link.exchange].state is not i.ListState.READY:
+            self._end_attempt(attempt, i.Outcome.NOT_SENT)
+            return None
+        attempt.sent = True
+        self.counters["set_ups_sent"] += 1
+        wait_ms = max(1, (attempt.due_us - self._now) // 1000)
+        old = call.set_up
+        return SetUp(old.call, old.class_name, wait_ms, old.called, old.description)
+
+    def _wrote(self, ident: int) -> None:
+        stream = self.callers.get(ident) or self.links.get(ident)
+        if stream is None:
+            return
+        items, stream.in_flight = stream.in_flight, []
+        for item in items:
+            if isinstance(item, GiveUpDue):
+                if item.attempt.call.attempt is item.attempt:
+                    self._end_attempt(item.attempt, i.Outcome.TIMED_OUT)
+            elif isinstance(item, Release):
+                stream.unheard[item.call] = (self._now, item)
+        self._ready[ident] = stream
+        if isinstance(stream, Caller):
+            self._close_if_finished(stream)
+
+    def _drop(self, stream: Stream) -> None:
+        """Close a stream from our side."""
+        stream.up = False
+        self._effects.append(Close(stream.ident))
+        if isinstance(stream, Link):
+            self._lose_link(stream)
+        elif isinstance(stream, Caller):
+            self._lose_caller(stream)
+
+    def _sweep(self) -> None:
+        """Now and then: end writes and links of vanished peers, drop what is too old."""
+        self._set_timer(SWEEP_US, TimerKind.SWEEP)
+        streams: list[Stream] = [*self.callers.values(), *self.links.values()]
+        for stream in streams:
+            old = [k for k, (at, _) in stream.unheard.items() if at <= self._now - RESEND_US]
+            for ident in old:
+                del stream.unheard[ident]
+            if stream.in_flight and self._now - stream.write_began_us > STUCK_US:
+                self._log(f"stream {stream.ident} is stuck")
+                self._drop(stream)
+        for exchange in self.exchanges.values():
+            if exchange.standing and exchange.down_us and self._now - exchange.down_us > SILENT_US:
+                self._cut(exchange, self._now + 1, "cannot be reached")
+        while self._over and (first := next(iter(self._over.items())))[1][0] <= self._now:
+            del self._over[first[0]]
+
+
+def _report(figures: Mapping[str, float]) -> i.Report:
+    return read_report((REPORT_FIELDS.get(name), value) for name, value in figures.items())
