Refuse unsendable calls at once and tell callers when to come back

Seen: _wait kept a call in line until three quarters of its aim, or 75 ms before its deadline, even where it could no longer be sent: less time left than _hopeless asks for, a release time or a pause of the exchange that ends after the wait, an exchange that left the list meanwhile (_serve only ran _route). Refusals gave no time to stay away, but for busy numbers.

Changed: _given_up is asked on entering the line and whenever the line is served; _stay_away reckons from the group when a circuit comes free (holding time over circuits in use), for callers past their aim when the reserve for late calls does.

--- a/latchturn/brain.py
+++ b/latchturn/brain.py
@@ -277,7 +277,7 @@
             self._refuse(call, self.settings.max_stay_away_us)
         elif not self._route(call):
             if offer.transit or self._late(call):
-                self._refuse(call, 0)
+                self._refuse(call, 0 if offer.transit else self._stay_away(call))
             else:
                 self._wait(call)
 
@@ -383,19 +383,53 @@
     def _wait(self, call: Call) -> None:
         """Hold a call in line until a circuit or a window opens, or its aim or its deadline is near."""
         aim_near = call.first_us + int(call.cls.aim_us * WAIT_SHARE)
-        until = call.until = min(aim_near, call.offer.deadline_us - int(ANSWER_MARGIN * self.aim_us))
-        target = self.by_number.get(call.offer.destination)
-        more = call.attempts < self.settings.max_attempts
-        if until <= self.now or not more or target is None or not target.ready:
-            self._refuse(call, 0)
+        least = max(int(ANSWER_MARGIN * self.aim_us), int(LEAST_TIME * self.usual_us))
+        call.until = min(aim_near, call.offer.deadline_us - least)
+        if self._given_up(call):
+            self._refuse(call, self._stay_away(call))
             return
         call.waiting = True
         self.lines.setdefault(call.offer.destination, []).append(call)
-        self._set_timer(until - self.now, call.offer.call)
-        opens = max(call.not_before, target.cold_next if self._cold(target) else 0)
-        if self.now < opens < until:
+        self._set_timer(call.until - self.now, call.offer.call)
+        opens = self._opens(call)
+        if self.now < opens:
             self._set_timer(opens - self.now, call.offer.call)
 
+    def _given_up(self, call: Call) -> bool:
+        """Whether a call in line can be sent no more.
+
+        Guards against a caller kept in line for nothing: its final answer is due at once, be the line's
+        end ever so far.
+        """
+        target = self.by_number.get(call.offer.destination)
+        if target is None or not target.ready or call.attempts >= self.settings.max_attempts:
+            return True
+        return self._hopeless(call) or max(self.now, self._opens(call)) >= call.until
+
+    def _opens(self, call: Call) -> int:
+        """The first moment at which a call may be sent, as far as that is known now."""
+        target = self.by_number[call.offer.destination]
+        opens = max(call.not_before, target.cold_next if self._cold(target) else 0)
+        # An answer that is still out may end a pause early; under pressure no tandem serves in its place.
+        paused = target.pressed() and target.out == 0
+        return max(opens, target.hold_until) if paused else opens
+
+    def _stay_away(self, call: Call) -> int:
+        """When a refused caller does well to come back: once circuits are likely to have come free.
+
+        Standing calls end one by one, as long as they hold. Past its aim a call is sent only from a group
+        that keeps its reserve, so that it has more to wait for.
+        """
+        target = self.by_number.get(call.offer.destination)
+        if target is None or not target.ready or not target.group.told:
+            return self.settings.max_stay_away_us
+        group = target.group
+        each = call.cls.holding_us / max(1, group.size - group.told_free)
+        short = max(0, call.offer.width - group.told_free)
+        if self.now + short * each >= call.first_us + call.cls.aim_us:
+            short = max(0, call.offer.width + int(LATE_RESERVE * group.size) - group.told_free)
+        return max(0, int(short * each), self._opens(call) - self.now)
+
     def _yields(self, call: Call) -> bool:
         """Whether a wider call that is worth as much for each circuit waits for the same group.
 
@@ -416,9 +450,12 @@
         line = self.lines.get(number)
         if not line:
             return
+        blocked = False
         for call in sorted(line, key=lambda c: (-c.worth, c.first_us, c.offer.call)):
-            if not self._route(call) and self.now >= call.not_before:
-                return
+            if self._given_up(call):
+                self._refuse(call, self._stay_away(call))
+            elif not blocked and not self._route(call) and self.now >= call.not_before:
+                blocked = True
 
     def _refuse(self, call: Call, stay_away: int) -> None:
         if call.waiting:
@@ -559,8 +596,8 @@
         call = self.calls.get(ident)
         if call is None or not call.waiting or self._route(call):
             return
-        if self.now >= call.until:
-            self._refuse(call, 0)
+        if self._given_up(call):
+            self._refuse(call, self._stay_away(call))
 
     def _set_timer(self, delay: int, ident: int) -> None:
         token = self.next_token
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -357,3 +357,45 @@
     bench.pass_time(SECOND)
     again, actions = bench.offer(1, called=5)  # past its aim: not held at all
     assert finals(actions) == [again]
+
+
+def test_a_call_that_can_be_sent_no_more_is_not_kept_waiting() -> None:
+    """An answer held back until the end of the wait would only keep the caller from dialling again."""
+    short = changed(max_attempts=1)
+    cases = [  # settings, time on the call when its first attempt ends, how it ends
+        (short, 0, i.Outcome.NO_LINE),  # no attempt is left
+        (SETTINGS, 700_000, i.Outcome.TIMED_OUT),  # the release time ends after the wait would
+    ]
+    for settings, after, outcome in cases:
+        bench = Bench(settings)
+        call, _ = bench.offer(1)
+        bench.pass_time(after)
+        assert finals(bench.ended(call, 1, outcome)) == [call], outcome
+
+
+def test_a_call_to_an_exchange_paused_past_the_wait_is_refused_at_once() -> None:
+    bench = Bench(far=1)
+    for _ in range(4):  # silences: each doubles the pause
+        call, _ = bench.offer(1)
+        bench.ended(call, 1, i.Outcome.UNREACHABLE, concluded=True)
+        bench.now = max(bench.now, bench.controller.exchanges[101].hold_until)
+    call, _ = bench.offer(1)
+    bench.ended(call, 1, i.Outcome.UNREACHABLE, concluded=True)
+    call, actions = bench.offer(1)
+    assert finals(actions) == [call]
+
+
+def test_a_refused_caller_is_told_when_circuits_come_free() -> None:
+    def told_stay(free: int, waits_us: int, first_us: int) -> int:
+        bench = Bench(far=1, free=free)
+        _, actions = bench.offer(1, called=77)
+        actions += bench.pass_time(waits_us)
+        if first_us:  # the caller dials again past its aim
+            bench.now += first_us
+            _, actions = bench.offer(1, called=77)
+        (refusal,) = [a for a in actions if isinstance(a, i.Refuse)]
+        return refusal.stay_away_us
+
+    # 40 circuits held for 10 s each: one comes free every 250 ms, and late calls need five.
+    assert told_stay(0, 2 * SECOND, 0) == 250_000
+    assert told_stay(0, 2 * SECOND, SECOND) == 1_250_000
