Spend one attempt on a full group or dead own processor; end dead exchanges' calls at once

Checked with a trace of releases and links. The unsent ones are cause 102 without a report, noted no_circuit while the told figure still said there was one, or overload (own processor out of service). _ended routed them anew at once: nothing marked the group full. The late end: three further links to the dead exchange, opened and idle, were never reset, and _connect_failed held a refused connection for proof of death only if no link was up. Ruled out: a lost reset (the main link's came at once).

Changed: brain._ended marks the group full until told anew and refuses calls while the own processor is down; session._connect_failed takes a refusal after a broken link as death and drops the silent links.

--- a/latchturn/brain.py
+++ b/latchturn/brain.py
@@ -415,20 +415,16 @@
         return max(opens, target.hold_until) if paused else opens
 
     def _stay_away(self, call: Call) -> int:
-        """When a refused caller does well to come back: once circuits are likely to have come free.
-
-        Standing calls end one by one, as long as they hold. Past its aim a call is sent only from a group
-        that keeps its reserve, so that it has more to wait for.
-        """
+        """When a refused caller does well to come back: once a circuit is likely to have come free, as
+        standing calls end one by one; as late as callers allow where that is past its aim."""
         target = self.by_number.get(call.offer.destination)
         if target is None or not target.ready or not target.group.told:
             return self.settings.max_stay_away_us
         group = target.group
-        each = call.cls.holding_us / max(1, group.size - group.told_free)
         short = max(0, call.offer.width - group.told_free)
-        if self.now + short * each >= call.first_us + call.cls.aim_us:
-            short = max(0, call.offer.width + int(LATE_RESERVE * group.size) - group.told_free)
-        return max(0, int(short * each), self._opens(call) - self.now)
+        frees = int(short * call.cls.holding_us / max(1, group.size - group.told_free))
+        back = max(self.now + frees, self._opens(call))
+        return back - self.now if back < call.first_us + call.cls.aim_us else self.settings.max_stay_away_us
 
     def _yields(self, call: Call) -> bool:
         """Whether a wider call that is worth as much for each circuit waits for the same group.
@@ -508,6 +504,10 @@
         cls = TWO_LEG if call.two_leg else DIRECT
         at.group.release(cls, call.offer.width)
         call.at = None
+        if outcome is i.Outcome.NOT_SENT and cause is i.Cause.NO_CIRCUIT:
+            # Guards against a call's attempts being spent at once on a group that the far end has just
+            # filled, where the word of it comes later than the refusal.
+            at.group.told_free = min(at.group.told_free, call.offer.width - 1)
         if was_out:
             self._judge(call, at, event)
         if outcome in (i.Outcome.TIMED_OUT, i.Outcome.CUT, i.Outcome.CANCELLED):
@@ -519,6 +519,9 @@
                 del self.calls[event.call]
         elif cause is i.Cause.NUMBER_BUSY or call.offer.transit:
             self._refuse(call, self.settings.max_stay_away_us if cause is i.Cause.NUMBER_BUSY else 0)
+        elif outcome is i.Outcome.NOT_SENT and cause is i.Cause.PROCESSOR_FULL:
+            # Guards against spending all attempts at once while the own processor is out of service.
+            self._refuse(call, self.settings.max_stay_away_us)
         elif self._hopeless(call):
             self._failed(call)
             self.actions.append(i.GiveUp(event.call))
--- a/latchturn/session.py
+++ b/latchturn/session.py
@@ -269,6 +269,7 @@
     failures: int = 0  # connections in a row that came to nothing
     retry_us: int = 0
     down_us: int = 0  # since when no link is up, 0 while one is
+    broke: bool = False  # the peer ended a link, and none has come up since
     standing: set[int] = field(default_factory=set)
     unsent: list[tuple[int, Release]] = field(default_factory=list)  # releases that wait for a link
 
@@ -365,6 +366,7 @@
                 self._peer_done(stream)
             case Closed(stream):
                 if stream in self.links:
+                    self.exchanges[self.links[stream].exchange].broke |= self.links[stream].up
                     self._lose_link(self.links[stream])
                 elif stream in self.callers:
                     self._lose_caller(self.callers[stream])
@@ -666,6 +668,7 @@
     def _peer_done(self, stream: int) -> None:
         """Nothing more comes in on a stream. A caller still gets the answers that it is owed."""
         if stream in self.links:
+            self.exchanges[self.links[stream].exchange].broke = True
             self._drop(self.links[stream])
         elif stream in self.callers:
             caller = self.callers[stream]
@@ -746,7 +749,7 @@
             return
         link.up = True
         exchange = self.exchanges[link.exchange]
-        exchange.down_us = 0
+        exchange.down_us, exchange.broke = 0, False
         unsent, exchange.unsent = exchange.unsent, []
         for expires, release in unsent:
             if expires > self._now:
@@ -760,9 +763,13 @@
         self.counters["connects_refused" if refused else "connects_timed_out"] += 1
         exchange = self.exchanges[link.exchange]
         self._lose_link(link)
-        if refused and not any(other.up for other in exchange.links.values()):
-            # Nothing listens: the process has died, and its calls with it.
+        idle = [other for other in exchange.links.values() if other.up]
+        if refused and (exchange.broke or not idle):
+            # A link broke and nothing listens: the process has died, and its calls with it. Guards against
+            # waiting for links on which nothing was under way: those of a dead process may stay silent.
             self._cut(exchange, self._now + 1, "refuses connections")
+            for other in idle:
+                self._drop(other)
 
     def _lose_link(self, link: Link) -> None:
         """The link is closed, and with that the set-ups on it are given up."""
