--- a/latchturn/__init__.py
+++ b/latchturn/__init__.py
@@ -1,4 +1,4 @@
-"""latchturn: the decisions of a call controller."""
+"""latchturn: a session controller and its decisions."""
 
 from .brain import Controller
 
