--- a/latchturn/net.py
+++ b/latchturn/net.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import contextlib
-import errno
 import json
 import math
 import random
@@ -29,11 +28,7 @@
 CHANNEL_CONNECT_S = 1.0
 CHANNEL_SILENT_S = 2.5  # an empty frame comes each second
 CHANNEL_PAUSE_S = (0.05, 0.3)
-# Errors of accept that pass: those of a connection that ended early, and want of descriptors or memory.
-PASSING = {
-    errno.ECONNABORTED, errno.EPROTO, errno.EPERM, errno.EINTR,
-    errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM,
-}  # fmt: skip
+RESTART_PAUSE_S = 0.1  # of a service task that raised
 
 
 class Clock:
@@ -89,11 +84,17 @@
             await listener.bind((host, port))
             listener.listen(BACKLOG)
             async with trio.open_nursery() as self._nursery:
-                self._nursery.start_soon(self._guard, self._watch_signals)
-                self.tell(session.Started(self.config.known))
-                self._nursery.start_soon(self._guard, self._accept, listener)
-                self._nursery.start_soon(self._guard, self._follow_channel)
-                self._nursery.start_soon(self._guard, self._keep_time)
+                self._nursery.start_soon(self._service, self._watch_signals)
+                self.tell(session.Started(self.config.known, self.config.cursor))
+                self._nursery.start_soon(self._service, self._accept, listener)
+                self._nursery.start_soon(self._service, self._follow_channel)
+                self._nursery.start_soon(self._service, self._keep_time)
+
+    async def _service(self, work: Callable[..., object], *args: object) -> None:
+        """Run a task without which the program is of no use: it is begun anew if it raises."""
+        while True:
+            await self._guard(work, *args)
+            await trio.sleep(RESTART_PAUSE_S)
 
     async def _guard(self, work: Callable[..., object], *args: object) -> None:
         """Run one task; what it raises is logged and counted and ends nothing else."""
@@ -160,9 +161,7 @@
         while True:
             try:
                 sock, _ = await listener.accept()
-            except OSError as error:
-                if error.errno not in PASSING:
-                    raise
+            except OSError:
                 # Guards against a spin while descriptors are used up: the backlog waits meanwhile.
                 self.core.counters["accepts_failed"] += 1
                 await trio.sleep(ACCEPT_PAUSE_S)
@@ -217,7 +216,7 @@
             self.tell(session.Closed(ident))
 
     async def _read(self, ident: int, sock: trio.socket.SocketType) -> None:
-        decoder = protocol.MessageDecoder()
+        decoder = protocol.message_decoder()
         try:
             while data := await sock.recv(RECEIVE):
                 for message in decoder.feed(data):
@@ -257,7 +256,7 @@
             with trio.fail_after(CHANNEL_CONNECT_S):
                 await sock.connect(self.config.channel)
                 await sock.send(protocol.encode_cursor(self.core.cursor))
-            decoder = protocol.FrameDecoder()
+            decoder = protocol.frame_decoder()
             while True:
                 with trio.fail_after(CHANNEL_SILENT_S):
                     data = await sock.recv(RECEIVE)
--- a/latchturn/protocol.py
+++ b/latchturn/protocol.py
@@ -9,11 +9,11 @@
 
 import json
 import struct
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 from enum import IntEnum
 from pathlib import Path
-from typing import Any
+from typing import Any, Generic, TypeVar
 
 from .interface import ListEntry, ListKind, ListState
 
@@ -191,30 +191,43 @@
     return HEAD.pack(length, kind, message.call) + body
 
 
-class MessageDecoder:
-    """Cuts a byte stream into messages, however it arrives; keeps at most one message unread."""
+T = TypeVar("T")
 
-    def __init__(self) -> None:
+
+class Decoder(Generic[T]):
+    """Cuts a byte stream into pieces that begin with their length, however it arrives."""
+
+    def __init__(self, width: int, least: int, most: int, decode: Callable[[bytes], T]) -> None:
+        self._width = width  # bytes of the length, which counts all that follows it
+        self._least = least
+        self._most = most
+        self._decode = decode
         self._unread = bytearray()
 
-    def feed(self, data: bytes) -> Iterator[Message]:
-        """The messages that `data` completes. Those before a malformed one come out before the error."""
+    def feed(self, data: bytes) -> Iterator[T]:
+        """What `data` completes. Pieces before a malformed one come out before the error."""
         self._unread += data
         at = 0
         try:
-            while len(self._unread) - at >= 2:
-                length = int.from_bytes(self._unread[at : at + 2], "big")
-                if not HEAD.size - 2 <= length <= MAX_MESSAGE:
+            while len(self._unread) - at >= self._width:
+                length = int.from_bytes(self._unread[at : at + self._width], "big")
+                if not self._least <= length <= self._most:
                     raise ProtocolError(f"message of {length} bytes")
-                if len(self._unread) - at < 2 + length:
+                end = at + self._width + length
+                if len(self._unread) < end:
                     return
-                raw = bytes(self._unread[at : at + 2 + length])
-                at += len(raw)
-                yield _decode(raw)
+                raw = bytes(self._unread[at:end])
+                at = end
+                yield self._decode(raw)
         finally:
             del self._unread[:at]
 
 
+def message_decoder() -> Decoder[Message]:
+    """A decoder for messages."""
+    return Decoder(2, HEAD.size - 2, MAX_MESSAGE, _decode)
+
+
 def _decode(raw: bytes) -> Message:
     _, kind, call = HEAD.unpack_from(raw)
     values: dict[int, bytes] = {}
@@ -324,32 +337,16 @@
     listed: tuple[Listed, ...] = ()
 
 
-class FrameDecoder:
-    """Cuts the command channel's byte stream into list updates."""
-
-    def __init__(self) -> None:
-        self._unread = bytearray()
-
-    def feed(self, data: bytes) -> Iterator[ListUpdate]:
-        self._unread += data
-        at = 0
-        try:
-            while len(self._unread) - at >= 4:
-                length = int.from_bytes(self._unread[at : at + 4], "big")
-                if length != 0 and not FRAME_HEAD.size - 4 <= length <= MAX_FRAME:
-                    raise ProtocolError(f"frame of {length} bytes")
-                if len(self._unread) - at < 4 + length:
-                    return
-                raw = bytes(self._unread[at : at + 4 + length])
-                at += len(raw)
-                yield _decode_frame(raw)
-        finally:
-            del self._unread[:at]
+def frame_decoder() -> Decoder[ListUpdate]:
+    """A decoder for the frames of the command channel."""
+    return Decoder(4, 0, MAX_FRAME, _decode_frame)
 
 
 def _decode_frame(raw: bytes) -> ListUpdate:
     if len(raw) == 4:
         return ListUpdate(0, None)
+    if len(raw) < FRAME_HEAD.size:
+        raise ProtocolError(f"frame of {len(raw)} bytes")
     _, number, kind = FRAME_HEAD.unpack_from(raw)
     if kind == 0:
         return ListUpdate(number, None)
--- a/latchturn/session.py
+++ b/latchturn/session.py
@@ -78,6 +78,7 @@
     """The program runs; the list of exchanges as the configuration holds it."""
 
     known: tuple[ListUpdate, ...]
+    cursor: int  # the number of the last event in it
 
 
 @dataclass(slots=True, frozen=True)
@@ -376,8 +377,8 @@
                 self._connect_failed(stream, refused)
             case ListTold(update):
                 self._list_told(update)
-            case Started(known):
-                self._started(known)
+            case Started(known, cursor):
+                self._started(known, cursor)
             case Terminate():
                 if not self._term_us:
                     self._term_us = self._now
@@ -681,10 +682,11 @@
 
     # --- exchanges ---
 
-    def _started(self, known: Iterable[ListUpdate]) -> None:
+    def _started(self, known: Iterable[ListUpdate], cursor: int) -> None:
         self._set_timer(SWEEP_US, TimerKind.SWEEP)
         for update in known:
             self._list_told(update)
+        self._cursor = max(self._cursor, cursor)
 
     def _list_told(self, update: ListUpdate) -> None:
         if update.kind is None or (update.number <= self._cursor and update.kind is not i.ListKind.FULL):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -179,7 +179,7 @@
         self.closed: list[int] = []
         self.ended = False
         update = p.ListUpdate(1, i.ListKind.FULL, tuple(listed(k) for k in range(far + 1)))
-        self.do(s.Started((update,)))
+        self.do(s.Started((update,), 1))
         self.link = {k: self.connects[k - 1].stream for k in range(1, far + 1)}
         for k, stream in self.link.items():
             self.do(s.Connected(stream))
@@ -226,7 +226,7 @@
     def __init__(self, sock: socket.socket) -> None:
         sock.settimeout(10)
         self.sock = sock
-        self.decoder = p.MessageDecoder()
+        self.decoder = p.message_decoder()
         self.heard: deque[p.Message] = deque()
 
     def send(self, *messages: p.Message) -> None:
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -43,12 +43,12 @@
     def test_bytes_as_the_protocol_page_lays_them_out(self) -> None:
         release = bytes.fromhex("000d" "0c" "7f3a9c21e0b4d655" "ab0001" "10")
         self.assertEqual(p.encode(p.Release(0x7F3A9C21E0B4D655, 16)), release)
-        self.assertEqual(list(p.MessageDecoder().feed(release)), [p.Release(0x7F3A9C21E0B4D655, 16)])
+        self.assertEqual(list(p.message_decoder().feed(release)), [p.Release(0x7F3A9C21E0B4D655, 16)])
 
     def test_a_stream_is_read_alike_however_it_arrives(self) -> None:
         data, draw = b"".join(map(p.encode, MESSAGES)), random.Random(1)
         for most in (1, 2, 7, 100, len(data)):
-            decoder, heard, at = p.MessageDecoder(), [], 0
+            decoder, heard, at = p.message_decoder(), [], 0
             while at < len(data):
                 size = draw.randint(1, most)
                 heard += decoder.feed(data[at : at + size])
@@ -58,7 +58,7 @@
     def test_what_is_unknown_is_passed_over(self) -> None:
         data = raw(200, b"") + raw(16, parameter(250, b"new")) + raw(6, b"")
         self.assertEqual(
-            list(p.MessageDecoder().feed(data)), [p.Unknown(1, 200), p.ReleaseHeard(1), p.Progress(1)]
+            list(p.message_decoder().feed(data)), [p.Unknown(1, 200), p.ReleaseHeard(1), p.Progress(1)]
         )
 
     def test_malformed_messages_come_as_errors_behind_the_good_ones(self) -> None:
@@ -81,7 +81,7 @@
         }
         for name, data in cases.items():
             with self.subTest(name):
-                stream = p.MessageDecoder().feed(raw(6) + data)
+                stream = p.message_decoder().feed(raw(6) + data)
                 self.assertEqual(next(stream), p.Progress(1))
                 with self.assertRaises(p.ProtocolError):
                     next(stream)
@@ -89,7 +89,7 @@
     def test_16_kib_are_the_most(self) -> None:
         head = len(p.encode(p.Answer(1, b""))) - 2
         fits = p.Answer(1, bytes(p.MAX_MESSAGE - head))
-        self.assertEqual(list(p.MessageDecoder().feed(p.encode(fits))), [fits])
+        self.assertEqual(list(p.message_decoder().feed(p.encode(fits))), [fits])
         with self.assertRaises(ValueError):
             p.encode(p.Answer(1, bytes(p.MAX_MESSAGE - head + 1)))
 
@@ -100,7 +100,7 @@
             for _ in range(draw.randint(1, 4)):
                 data[draw.randrange(len(data))] = draw.randrange(256)
             with contextlib.suppress(p.ProtocolError):
-                list(p.MessageDecoder().feed(bytes(data)))
+                list(p.message_decoder().feed(bytes(data)))
 
 
 class Channel(unittest.TestCase):
@@ -111,7 +111,7 @@
         entry = i.ListEntry(0xC41F7A, 2, i.ListState.DRAINING, 5000)
         told = p.ListUpdate(42, i.ListKind.CHANGES, (p.Listed(entry, ("127.0.1.9", 3868)),))
         data = bytes(4) + self.HEAD + self.RECORD + bytes.fromhex("00000009" "000000000000002a" "00")
-        decoder, heard = p.FrameDecoder(), []
+        decoder, heard = p.frame_decoder(), []
         for k in range(len(data)):
             heard += decoder.feed(data[k : k + 1])
         self.assertEqual(heard, [p.ListUpdate(0, None), told, p.ListUpdate(42, None)])
@@ -127,7 +127,7 @@
         }
         for name, data in cases.items():
             with self.subTest(name), self.assertRaises(p.ProtocolError):
-                list(p.FrameDecoder().feed(data))
+                list(p.frame_decoder().feed(data))
 
 
 class Configuration(unittest.TestCase):
