Tell callers the end of a pause, as measured, not the longest stay

Checked: the two differ in _stay_away alone, where the committed one told the longest stay also for a known pause that ends past the aim.

--- a/latchturn/brain.py
+++ b/latchturn/brain.py
@@ -416,15 +416,17 @@
 
     def _stay_away(self, call: Call) -> int:
         """When a refused caller does well to come back: once a circuit is likely to have come free, as
-        standing calls end one by one; as late as callers allow where that is past its aim."""
+        standing calls end one by one, and a known pause is over; as late as callers allow where no circuit
+        is likely within its aim."""
         target = self.by_number.get(call.offer.destination)
         if target is None or not target.ready or not target.group.told:
             return self.settings.max_stay_away_us
         group = target.group
         short = max(0, call.offer.width - group.told_free)
         frees = int(short * call.cls.holding_us / max(1, group.size - group.told_free))
-        back = max(self.now + frees, self._opens(call))
-        return back - self.now if back < call.first_us + call.cls.aim_us else self.settings.max_stay_away_us
+        if self.now + frees >= call.first_us + call.cls.aim_us:
+            return self.settings.max_stay_away_us
+        return max(frees, self._opens(call) - self.now)
 
     def _yields(self, call: Call) -> bool:
         """Whether a wider call that is worth as much for each circuit waits for the same group.
