--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -148,6 +148,20 @@
             self.assertEqual(program.process.wait(10), 0)
             self.assertIn('"answers": 1', program.process.stderr.read())
 
+    def test_want_of_descriptors_is_waited_out(self) -> None:
+        with Program(command=f"ulimit -n 24; exec {sys.executable} -m latchturn") as program:
+            callers = [program.caller() for _ in range(60)]
+            callers[0].send(p.Test(1))
+            self.assertEqual(callers[0].next(), p.TestResult(1, True))
+            for caller in callers[:40]:
+                caller.sock.close()
+            callers[-1].send(p.Test(2))
+            self.assertEqual(callers[-1].next(), p.TestResult(2, True))
+            program.process.send_signal(signal.SIGUSR1)
+            self.assertIn("accepts_failed", program.process.stderr.readline())
+            for caller in callers[40:]:
+                caller.sock.close()
+
     def test_a_bad_configuration_is_one_line_and_exit_2(self) -> None:
         for path in ("", "/nonexistent", os.devnull):
             done = subprocess.run(
