Check set-ups strictly, bound bad callers, and close links of no further use

A probe of what callers send: the callers left were those with an id that was open already, or a message of a type that is not known. A probe of the links: after one spoilt message (read as type 123, passed over) a link stayed open and silent for 15 s, and every set-up on it timed out; the ends of calls that stood there were written by the exchange to that link. Ruled out: the reconnects (under 1 ms), the callers' side (releases went to the right connections). At fault in session.py: `_offer` (nothing checked, a repeat unanswered), `_from_exchange` (unknown types passed over), `_accepted` and `_release_to_caller` (the connection spoken on last, or the longest idle one, though strangers are both), `_sweep` (nothing ends silent or half-sent input); in protocol.py `_decode` (fractions truncated, unreadable figures closing or passing).

Now: class, tenant, id, number, wait and figures are checked, and what cannot be used fails at once with cause 100. A repeated id never brings a second answer: on the call's own connection the call fails, another connection is closed. Callers without a word for 2 s, half-sent for 2 s, unreadable or flooding are closed; connections on which calls stood go last. Two links to each exchange are kept and compared: one that misses what the other hears, is half read for 250 ms or sends what no exchange sends is closed; attempts not sent yet move on. Refusals end no standing call. Exchanges that have gone are forgotten, in the module too, and a new one at their address ends the old one. At SIGTERM all calls are answered 0.3 s before SIGKILL may come. The log is written by a thread and limited.

--- a/latchturn/__main__.py
+++ b/latchturn/__main__.py
@@ -13,7 +13,7 @@
 
 from .benchlink import SettingsError, read_settings
 from .interface import Settings
-from .net import Node, log
+from .net import Node, flush_log, log
 from .protocol import Config, ConfigError, read_config
 from .session import Session
 
@@ -42,7 +42,8 @@
     try:
         trio.run(node.run)
     finally:
-        log(node.counters_line())
+        log(node.counters_line(), always=True)
+        flush_log()
     return 0
 
 
--- a/latchturn/brain.py
+++ b/latchturn/brain.py
@@ -228,18 +228,29 @@
             named.add(entry.exchange)
             self._entry(entry)
         if event.kind is not i.ListKind.CHANGES:
-            for exchange in self.exchanges.values():
-                if exchange.exchange not in named:
-                    exchange.ready = False
+            for ident in [ident for ident in self.exchanges if ident not in named]:
+                self._forget(ident)
         self.by_number = {}
         for exchange in self.exchanges.values():
             if exchange.ready or exchange.number not in self.by_number:
                 self.by_number[exchange.number] = exchange
+        for number in [n for n, g in self.groups.items() if n not in self.by_number and not any(g.count)]:
+            del self.groups[number]
         for number in list(self.lines):
             self._serve(number)
 
+    def _forget(self, ident: int) -> None:
+        """Guards the memory on long days: an exchange that has gone lives on in its last calls alone."""
+        gone = self.exchanges.pop(ident, None)
+        if gone is not None and gone.ready:
+            gone.ready = False
+            self._log(f"exchange {gone.number} is gone")
+
     def _entry(self, entry: i.ListEntry) -> None:
         known = self.exchanges.get(entry.exchange)
+        if entry.state is i.ListState.GONE:
+            self._forget(entry.exchange)
+            return
         if known is None:
             group = self.groups.setdefault(entry.number, Group())
             known = self.exchanges[entry.exchange] = Exchange(entry.exchange, entry.number, group)
--- a/latchturn/interface.py
+++ b/latchturn/interface.py
@@ -93,6 +93,7 @@
     max_stay_away_us: int  # 0: callers are not told when to come back
     resend_us: int
     late_price: float = 0.0  # what worth left unserved after its aim costs
+    tenants: tuple[str, ...] = ()  # names; none where there are no tenants
 
 
 @dataclass(slots=True)
--- a/latchturn/net.py
+++ b/latchturn/net.py
@@ -10,8 +10,10 @@
 import contextlib
 import json
 import math
+import queue
 import signal
 import sys
+import threading
 import time
 import traceback
 from collections import deque
@@ -21,7 +23,7 @@
 
 from . import protocol, session
 
-RECEIVE = 64 * 1024
+RECEIVE = 8 * 1024  # about 50 messages: the other connections have their turn after them
 BACKLOG = 512
 ACCEPT_PAUSE_S = 0.05  # after an accept that failed for want of descriptors or memory
 RESTART_PAUSE_S = 0.1  # of a service task that raised
@@ -221,9 +223,13 @@
     async def _read(self, ident: int, sock: trio.socket.SocketType) -> None:
         decoder = protocol.message_decoder()
         try:
+            half = False
             while data := await sock.recv(RECEIVE):
                 for message in decoder.feed(data):
                     self.tell(session.Heard(ident, message))
+                if decoder.half_read != half:
+                    half = decoder.half_read
+                    self.tell(session.HalfRead(ident, half))
         except protocol.ProtocolError as error:
             self.tell(session.Garbled(ident, str(error)))
             # Guards the answers that are still owed: closing with input unread would reset the connection.
@@ -269,7 +275,7 @@
         with trio.open_signal_receiver(*numbers) as received:
             async for number in received:
                 if number == signal.SIGUSR1:
-                    log(self.counters_line())
+                    log(self.counters_line(), always=True)
                 elif number == signal.SIGHUP:
                     self._reconfigure()
                 else:
@@ -293,9 +299,62 @@
         return "counters " + json.dumps(dict(sorted(self.core.counters.items())))
 
 
-def log(text: str) -> None:
+class LineWriter:
+    """Writes lines in a thread of its own, so that nobody waits for a log that is not read.
+
+    Guards against floods too: lines beyond so many in a second, or in line, are counted and left out.
+    """
+
+    def __init__(self, a_second: int = 50, in_line: int = 500) -> None:
+        self._lines: queue.Queue[str] = queue.Queue(in_line)
+        self._a_second = a_second
+        self._second = 0
+        self._written = 0
+        self._left_out = 0
+        self._thread: threading.Thread | None = None
+
+    def write(self, text: str, always: bool = False) -> None:
+        now = int(time.time())
+        if now != self._second:
+            self._second, self._written = now, 0
+        if self._written >= self._a_second and not always:
+            self._left_out += 1
+            return
+        self._written += 1
+        if self._left_out:
+            text, self._left_out = f"({self._left_out} entries left out)\n{text}", 0
+        if self._thread is None:
+            self._thread = threading.Thread(target=self._run, daemon=True)
+            self._thread.start()
+        stamp = time.strftime("%H:%M:%S")
+        lines = text.rstrip("\n").split("\n")
+        try:
+            self._lines.put_nowait("".join(f"{stamp} latchturn: {line}\n" for line in lines))
+        except queue.Full:
+            self._left_out += 1
+
+    def _run(self) -> None:
+        while True:
+            lines = self._lines.get()
+            with contextlib.suppress(OSError):  # nobody reads the log any more: that is no reason to end
+                sys.stderr.write(lines)
+                sys.stderr.flush()
+            self._lines.task_done()
+
+    def flush(self, timeout_s: float) -> None:
+        """Wait until all lines are written, but not for ever."""
+        with self._lines.all_tasks_done:
+            self._lines.all_tasks_done.wait_for(lambda: not self._lines.unfinished_tasks, timeout_s)
+
+
+_writer = LineWriter()
+
+
+def log(text: str, always: bool = False) -> None:
     """Write to standard error, each line with the time and the program's name."""
-    stamp = time.strftime("%H:%M:%S")
-    with contextlib.suppress(OSError):  # nobody reads the log any more: that is no reason to end
-        for line in text.rstrip("\n").split("\n"):
-            print(f"{stamp} latchturn: {line}", file=sys.stderr, flush=True)
+    _writer.write(text, always)
+
+
+def flush_log(timeout_s: float = 0.2) -> None:
+    """At the end of the program: what has been logged is to be written."""
+    _writer.flush(timeout_s)
--- a/latchturn/protocol.py
+++ b/latchturn/protocol.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import json
+import re
 import struct
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
@@ -24,6 +25,7 @@
 FRAME_HEAD = struct.Struct(">IQB")
 RECORD = struct.Struct(">I4sHBBBHIQ")
 CURSOR = struct.Struct(">Q")
+WHOLE = re.compile(r"-?[0-9]{1,9}(\.0+)?", re.ASCII)  # a figure of a set-up
 
 STATES = {0: ListState.READY, 1: ListState.DRAINING, 2: ListState.GONE}
 STATUSES = {"ready": ListState.READY, "draining": ListState.DRAINING, "gone": ListState.GONE}
@@ -74,12 +76,13 @@
     TEMPORARY_FAILURE = 41
     CONGESTION = 42
     RESOURCE_UNAVAILABLE = 47
+    INVALID_CONTENTS = 100
     TIMER_EXPIRY = 102
 
 
 @dataclass(slots=True, frozen=True)
 class SetUp:
-    """A call is to be set up. `figures` travel from callers only."""
+    """A call is to be set up. `figures` and `tenant` travel from callers only."""
 
     call: int
     class_name: str
@@ -87,6 +90,15 @@
     called: str
     description: bytes
     figures: Mapping[str, int] = field(default_factory=dict)
+    tenant: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Unusable:
+    """A whole message that says set-up, but not what: a parameter is missing or cannot be what it says."""
+
+    call: int
+    reason: str
 
 
 @dataclass(slots=True, frozen=True)
@@ -142,7 +154,9 @@
     type: int
 
 
-Message = SetUp | Progress | Answer | Release | ReleaseHeard | Test | TestResult | GroupState | Unknown
+Message = (
+    SetUp | Unusable | Progress | Answer | Release | ReleaseHeard | Test | TestResult | GroupState | Unknown
+)  # fmt: skip
 
 
 def encode(message: Message) -> bytes:
@@ -155,6 +169,8 @@
             (Code.WAIT_MS, b"%d" % message.wait_ms),
             (Code.CALLED, message.called.encode()),
         ]
+        if message.tenant:
+            parameters.append((Code.TENANT, message.tenant.encode()))
         if message.figures:
             parameters.append((Code.FIGURES, _join(message.figures)))
         parameters.append((Code.DESCRIPTION, message.description))
@@ -183,7 +199,7 @@
     elif isinstance(message, ReleaseHeard):
         kind = Type.RELEASE_HEARD
     else:
-        raise ValueError(f"a message of unknown type {message.type} is not sent")
+        raise ValueError(f"{message} is not sent")
     body = b"".join(PARAMETER.pack(code, len(value)) + value for code, value in parameters)
     length = HEAD.size - 2 + len(body)
     if length > MAX_MESSAGE:
@@ -204,6 +220,11 @@
         self._decode = decode
         self._unread = bytearray()
 
+    @property
+    def half_read(self) -> bool:
+        """Whether a piece has begun to come and is not whole yet."""
+        return bool(self._unread)
+
     def feed(self, data: bytes) -> Iterator[T]:
         """What `data` completes. Pieces before a malformed one come out before the error."""
         self._unread += data
@@ -231,6 +252,7 @@
 def _decode(raw: bytes) -> Message:
     _, kind, call = HEAD.unpack_from(raw)
     values: dict[int, bytes] = {}
+    twice = 0
     at = HEAD.size
     while at < len(raw):
         if at + PARAMETER.size > len(raw):
@@ -239,17 +261,26 @@
         at += PARAMETER.size
         if at + size > len(raw):
             raise ProtocolError(f"parameter {code} goes past its message")
+        twice = code if code in values else twice
         values[code] = raw[at : at + size]
         at += size
     if kind == Type.SET_UP:
-        return SetUp(
-            call,
-            _text(values, Code.CLASS),
-            _number(values, Code.WAIT_MS),
-            _text(values, Code.CALLED),
-            values.get(Code.DESCRIPTION, b""),
-            {name: int(value) for name, value in _figures(values, Code.FIGURES).items()},
-        )
+        try:
+            if twice:
+                raise ProtocolError(f"parameter {twice} comes twice")
+            if not values.get(Code.DESCRIPTION):
+                raise ProtocolError("a set-up without description")
+            return SetUp(
+                call,
+                _text(values, Code.CLASS),
+                _number(values, Code.WAIT_MS),
+                _text(values, Code.CALLED),
+                values[Code.DESCRIPTION],
+                _whole_figures(values),
+                _text(values, Code.TENANT) if Code.TENANT in values else "",
+            )
+        except ProtocolError as error:  # its borders are whole, so what follows it can be read
+            return Unusable(call, str(error))
     if kind == Type.PROGRESS:
         return Progress(call)
     if kind == Type.ANSWER:
@@ -309,6 +340,17 @@
     return figures
 
 
+def _whole_figures(values: Mapping[int, bytes]) -> dict[str, int]:
+    """The figures of a set-up: whole numbers, each name once."""
+    figures: dict[str, int] = {}
+    for part in _text(values, Code.FIGURES).split(";") if Code.FIGURES in values else ():
+        name, _, value = part.partition(":")
+        if not WHOLE.fullmatch(value) or not name or name in figures:
+            raise ProtocolError(f"figure {part!r:.40} cannot be")
+        figures[name] = int(value.partition(".")[0])
+    return figures
+
+
 def _report(values: Mapping[int, bytes]) -> dict[str, float] | None:
     return _figures(values, Code.REPORT) if Code.REPORT in values else None
 
--- a/latchturn/session.py
+++ b/latchturn/session.py
@@ -10,6 +10,7 @@
 
 import heapq
 import random
+import re
 import traceback
 from collections import Counter, deque
 from collections.abc import Callable, Iterable, Mapping
@@ -31,6 +32,7 @@
     SetUp,
     Test,
     TestResult,
+    Unusable,
     settings_word,
 )
 
@@ -43,21 +45,40 @@
 GIVE_UP_STUCK_US = 50_000  # a give-up that has not left by then takes its link along
 SILENT_US = 6 * SECOND  # no link comes up for so long: the exchange's standing calls are over
 SWEEP_US = SECOND // 4
-FORGET_US = 60 * SECOND  # ids of ended calls are kept so long, to know late messages
+FORGET_US = 10 * SECOND  # ids of ended calls are kept so long, to know late messages
 MAX_OUTBOX = 2000  # messages
 WRITE_BATCH = 100  # messages
-SLOTS = 4  # links to one exchange: one is always kept, the others serve further attempts of a call
+MUTE_US = SECOND // 4  # a link that misses for so long what other links of its exchange hear is of no use
+MUTE_MOST = 2  # attempts in a row that time out with nothing heard, where no other link can be compared
+KEPT = 2  # links to an exchange that are always kept, so that each can be compared with another
+MOVES_MOST = 2  # of an attempt to another link
+SLOTS = 4  # links to one exchange; those beyond the ones kept serve further attempts of a call
 RECONNECT_FIRST_US = 50_000
-RECONNECT_MOST_US = SECOND
+RECONNECT_MOST_US = 400_000
 # An empty frame comes each second. What a channel that is silent would have told counts as told after 4 s:
 # silence, sweep, connect and pause must fit well into that.
 CHANNEL_SILENT_US = 1_750_000
 CHANNEL_CONNECT_US = 700_000
 CHANNEL_PAUSE_US = 200_000  # at most, after a connection that told nothing
 DESCRIPTORS_KEPT = 64  # for the interpreter, the listener, the channel and connections being closed
-MAX_WAIT_MS = 3_600_000
+# Callers. One that has been told nothing so long after it connected, and has no call open, is closed: it is
+# owed a word or a close within 3 s. So is one whose message stays half read.
+SPEAK_US = 2 * SECOND
+HALF_READ_US = 2 * SECOND
+LINK_HALF_READ_US = SECOND // 4  # an exchange's messages are small and come whole
+FAULTS_MOST = 40  # messages of no use in a row on one connection; one is forgiven every 50 ms
+FAULTS_FORGIVEN = 5  # each sweep
+OPEN_MOST = 400  # calls open on one connection
+CALLS_MOST = 4000  # calls open or standing in all
+HOLD_RELEASE_US = SECOND // 2  # a release waits so long for a caller that has set up a call
+CALLED = re.compile(r"[0-9A-Fa-f]{16}", re.ASCII)
+NUMBERS = 1 << 16  # of exchanges, far above all that are
 TERM_QUIET_US = 700_000  # set-ups may come so long after SIGTERM
-TERM_MOST_US = 3_500_000  # SIGKILL may come 3.7 s after SIGTERM
+# SIGKILL may come as late after SIGTERM as callers wait, 3 s at most, and 0.7 s more. All calls are answered
+# before that with time to spare, and the program ends soon after.
+TERM_WAIT_MOST_US = 3 * SECOND
+TERM_SPARE_US = 300_000
+TERM_FLUSH_US = 150_000
 
 NOTES = {
     "no_circuit": i.Cause.NO_CIRCUIT,
@@ -66,6 +87,8 @@
     "overload": i.Cause.PROCESSOR_FULL,
     "lines_busy": i.Cause.NUMBER_BUSY,
 }
+# Causes that end a standing call. Any other is the late copy of a refusal and ends nothing.
+ENDS = (ReleaseCause.NORMAL, ReleaseCause.TEMPORARY_FAILURE)
 OUTCOMES = {  # of a release before the answer
     ReleaseCause.NO_CIRCUIT: i.Outcome.TURNED_AWAY,
     ReleaseCause.TIMER_EXPIRY: i.Outcome.NOT_SENT,
@@ -115,6 +138,14 @@
     reason: str
 
 
+@dataclass(slots=True, frozen=True)
+class HalfRead:
+    """Whether the input read last ends within a message; told when it changes."""
+
+    stream: int
+    half: bool
+
+
 @dataclass(slots=True, frozen=True)
 class Ended:
     """The peer sends no more, but may still read."""
@@ -168,8 +199,8 @@
 
 
 Input = (
-    Started | Reconfigured | Accepted | Heard | Garbled | Ended | Closed | Connected | ConnectFailed | Wrote
-    | ListTold | ChannelLost | Tick | Terminate
+    Started | Reconfigured | Accepted | Heard | HalfRead | Garbled | Ended | Closed | Connected
+    | ConnectFailed | Wrote | ListTold | ChannelLost | Tick | Terminate
 )  # fmt: skip
 
 
@@ -221,6 +252,23 @@
 # --- state ---
 
 
+@dataclass(slots=True, eq=False)
+class Timer:
+    """`what` None: it was withdrawn, and nothing hangs on it any more."""
+
+    kind: TimerKind
+    what: object
+
+
+@dataclass(slots=True, frozen=True)
+class Over:
+    """What is kept of an ended call."""
+
+    until_us: int
+    stood: bool
+    answered: bool
+
+
 @dataclass(slots=True, eq=False)
 class Call:
     """A call from its set-up to its final answer, or to its end if it stood."""
@@ -228,6 +276,7 @@
     set_up: SetUp
     caller: int  # stream
     deadline_us: int
+    timer: Timer | None = None
     attempts: int = 0
     attempt: Attempt | None = None
     stood_us: int = 0
@@ -248,7 +297,10 @@
     link: Link
     started_us: int
     due_us: int
+    timer: Timer | None = None
+    moves: int = 0  # to another link, before it was sent
     sent: bool = False  # its bytes have begun to leave
+    sent_us: int = 0
     given_up: bool = False  # timed out, the give-up is about to be written
 
 
@@ -271,14 +323,23 @@
     outbox: deque[Outgoing] = field(default_factory=deque)
     in_flight: list[Outgoing] = field(default_factory=list)
     write_began_us: int = 0
+    half_us: int = 0  # since when its input ends within a message, 0 if it does not
     unheard: dict[int, tuple[int, Release]] = field(default_factory=dict)  # call -> when written, what
 
 
 @dataclass(slots=True, eq=False)
 class Caller(Stream):
     owed: set[int] = field(default_factory=set)  # calls set up on it that have no final answer
-    finishing: bool = False  # nothing more is read; it is closed once all answers are written
+    finishing: bool = False  # nothing more is taken; it is closed once all answers are written
+    accepted_us: int = 0
     active_us: int = 0
+    told: bool = False  # whether it has been sent anything
+    trust: int = 0  # 1 once it has sent a set-up that can be used, 2 once a call of its has stood
+    faults: int = 0  # messages of no use lately
+
+    @property
+    def idle(self) -> bool:
+        return not (self.owed or self.outbox or self.in_flight)
 
 
 @dataclass(slots=True, eq=False)
@@ -286,6 +347,10 @@
     exchange: int = 0
     slot: int = 0
     attempts: set[Attempt] = field(default_factory=set)
+    up_us: int = 0  # since when it has been up
+    heard_us: int = 0  # when it last heard anything
+    missed_us: int = 0  # since when another link has heard a group state that this one has not
+    mute: int = 0  # attempts that timed out on it in a row with nothing heard
 
 
 @dataclass(slots=True, eq=False)
@@ -300,7 +365,7 @@
     links: dict[int, Link] = field(default_factory=dict)
     failures: int = 0  # connections in a row that came to nothing
     retry_us: int = 0
-    down_us: int = 0  # since when no link is up, 0 while one is
+    down_us: int = 0  # since when no link is up or comes up and nothing is heard, else 0
     broke: bool = False  # the peer ended the first link, and none has come up since
     standing: set[int] = field(default_factory=set)
     unsent: list[tuple[int, Release]] = field(default_factory=list)  # releases that wait for a link
@@ -312,6 +377,7 @@
     ATTEMPT = auto()  # time-out
     GIVE_UP = auto()  # its bytes should have left
     RECONNECT = auto()  # to an exchange
+    HALF_READ = auto()  # a link's message should be whole
     CHANNEL = auto()  # the command channel is to be asked again
     SWEEP = auto()
     TERM = auto()
@@ -331,11 +397,12 @@
         self._controller = Controller(settings, seed)
         self._random = random.Random(seed)
         self._classes = {settings_word(c.name): k for k, c in enumerate(settings.classes)}
+        self._tenants = frozenset(settings_word(name) for name in settings.tenants)
         self._now = 0
         self._effects: list[Effect] = []
         self._events: deque[i.Event] = deque()  # on their way to the module
         self._ready: dict[int, Stream] = {}  # streams with something to write
-        self._timers: list[tuple[int, int, TimerKind, object]] = []
+        self._timers: list[tuple[int, int, Timer]] = []
         self._timer_count = 0
         self._next_link = -1
         self._cursor = 0  # number of the last event of the command channel that was taken in
@@ -343,9 +410,11 @@
         self._channel_asked = 0  # how often the channel has been asked
         self._channel_lost = 0  # connections to it in a row that told nothing
         self._channel_heard_us = 0
-        self._over: dict[int, tuple[int, bool]] = {}  # ended calls -> forgotten when, and whether they stood
+        self._over: dict[int, Over] = {}  # ended calls
         self._unsent: list[tuple[int, Release]] = []  # releases that wait for a caller
-        self._term_us = 0
+        self._term_us = 0  # when SIGTERM came
+        self._term_last_us = 0  # when all that is open then is answered
+        self._answer_all = False
 
     # --- the outside ---
 
@@ -392,8 +461,16 @@
                 self._accepted(stream)
             case Garbled(stream, reason):
                 self.counters["garbled"] += 1
-                self._log(f"stream {stream} closed: {reason}")
-                self._peer_done(stream)
+                if stream in self.callers:
+                    self._shut(self.callers[stream], reason)
+                else:
+                    self._log(f"link {stream} closed: {reason}")
+                    self._peer_done(stream)
+            case HalfRead(stream, half):
+                if (reader := self.callers.get(stream) or self.links.get(stream)) is not None:
+                    reader.half_us = self._now if half else 0
+                    if half and isinstance(reader, Link):
+                        self._set_timer(LINK_HALF_READ_US, TimerKind.HALF_READ, reader)
             case Ended(stream):
                 self._peer_done(stream)
             case Closed(stream):
@@ -416,8 +493,8 @@
                 self._follow(channel)
             case Reconfigured(known, channel, sockets):
                 # The events of the file that are not known yet count; its whole list of the start is old.
-                for update in known:
-                    self._list_told(update)
+                for event in known:
+                    self._list_told(event)
                 self.sockets = sockets
                 self.counters["configurations"] += 1
                 self._log(f"new configuration: command channel {channel[0]}:{channel[1]}, {sockets} sockets")
@@ -425,8 +502,12 @@
             case Terminate():
                 if not self._term_us:
                     self._term_us = self._now
+                    longest = max(c.give_up_us for c in self.settings.classes)
+                    last = min(longest, TERM_WAIT_MOST_US) + TERM_QUIET_US - TERM_SPARE_US
+                    self._term_last_us = self._now + last
                     self._set_timer(TERM_QUIET_US, TimerKind.TERM)
-                    self._set_timer(TERM_MOST_US, TimerKind.TERM)
+                    self._set_timer(last, TimerKind.TERM)
+                    self._set_timer(last + TERM_FLUSH_US, TimerKind.TERM)
 
     def _settle(self) -> None:
         """Let the module answer all that came up, then write."""
@@ -438,14 +519,22 @@
                 _, stream = self._ready.popitem()
                 self._flush(stream)
 
-    def _set_timer(self, delay_us: int, kind: TimerKind, what: object = None) -> None:
+    def _set_timer(self, delay_us: int, kind: TimerKind, what: object = None) -> Timer:
         self._timer_count += 1
-        heapq.heappush(self._timers, (self._now + delay_us, self._timer_count, kind, what))
+        timer = Timer(kind, what)
+        heapq.heappush(self._timers, (self._now + delay_us, self._timer_count, timer))
+        return timer
+
+    @staticmethod
+    def _drop_timer(timer: Timer | None) -> None:
+        """Guards the memory: a call that is over must not hang on a timer for its whole wait."""
+        if timer is not None:
+            timer.what = None
 
     def _run_timers(self) -> None:
         while self._timers and self._timers[0][0] <= self._now:
-            _, _, kind, what = heapq.heappop(self._timers)
-            self._guarded(lambda k=kind, w=what: self._due(k, w), 0)  # type: ignore[misc]
+            _, _, timer = heapq.heappop(self._timers)
+            self._guarded(lambda k=timer.kind, w=timer.what: self._due(k, w), 0)  # type: ignore[misc]
             self._settle()  # what the module answers to one timer may end what the next is about
 
     def _due(self, kind: TimerKind, what: object) -> None:
@@ -461,10 +550,24 @@
         elif kind is TimerKind.GIVE_UP and isinstance(what, Attempt):
             if what.call.attempt is what:
                 self._drop(what.link)
+        elif kind is TimerKind.HALF_READ and isinstance(what, Link):
+            # Guards the set-ups that would follow onto a link on which nothing more can be read.
+            if self.links.get(what.ident) is what and what.half_us:
+                if self._now - what.half_us >= LINK_HALF_READ_US:
+                    self.counters["links_half_read"] += 1
+                    self._drop(what)
+                else:
+                    left = what.half_us + LINK_HALF_READ_US - self._now
+                    self._set_timer(left, TimerKind.HALF_READ, what)
         elif kind is TimerKind.RECONNECT and isinstance(what, Exchange):
             self._keep_link(what)
         elif kind is TimerKind.CHANNEL and what == self._channel_asked:
             self._follow(self._channel)
+        elif kind is TimerKind.TERM and self._now >= self._term_last_us and not self._answer_all:
+            # Guards against calls that the end of the program would leave without an answer.
+            self._answer_all = True
+            for call in [c for c in self.calls.values() if c.stands_at is None]:
+                self._fail(call)
         elif kind is TimerKind.SWEEP:
             self._sweep()
 
@@ -476,7 +579,9 @@
         since = self._now - self._term_us
         busy = any(c.owed or c.outbox or c.in_flight for c in self.callers.values())
         busy = busy or any(k.up and (k.outbox or k.in_flight) for k in self.links.values())
-        return since >= TERM_MOST_US or (since >= TERM_QUIET_US and not busy)
+        if self._now >= self._term_last_us + TERM_FLUSH_US:
+            return True
+        return since >= TERM_QUIET_US and not busy
 
     # --- the module ---
 
@@ -499,15 +604,13 @@
         call = self.calls.get(action.call)
         if call is None or call.stands_at is not None or call.attempt is not None:
             raise RuntimeError("the module sent a set-up for a call that may have none")
-        exchange = self.exchanges[action.exchange]
+        exchange = self.exchanges.get(action.exchange)
         number = call.attempts
         call.attempts += 1
-        # An attempt gets a link of its own among the call's attempts at an exchange: the id is the same on
-        # each, so a late answer to an earlier one could not be told from its own.
-        slot = next((k for k in range(SLOTS) if (exchange.ident, k) not in call.used), None)
-        if slot is None or exchange.state is not i.ListState.READY:
+        slot = None if exchange is None else self._free_slot(exchange, call)
+        if exchange is None or slot is None or exchange.state is not i.ListState.READY:
             self._events.append(
-                i.AttemptEnded(call.ident, number, exchange.ident, i.Outcome.NOT_SENT, 0, False)
+                i.AttemptEnded(call.ident, number, action.exchange, i.Outcome.NOT_SENT, 0, False)
             )
             return
         call.used.add((exchange.ident, slot))
@@ -517,18 +620,40 @@
         call.attempt = Attempt(call, number, link, self._now, due)
         link.attempts.add(call.attempt)
         self.counters["attempts"] += 1
-        self._set_timer(due - self._now, TimerKind.ATTEMPT, call.attempt)
+        call.attempt.timer = self._set_timer(due - self._now, TimerKind.ATTEMPT, call.attempt)
         self._queue(link, call.attempt)
 
+    @staticmethod
+    def _free_slot(exchange: Exchange, call: Call) -> int | None:
+        """The link for an attempt: one of its own among the call's attempts at an exchange, since the id is
+        the same on each and a late answer to an earlier one could not be told from its own. Links that are
+        half read come last: what is behind a spoilt message is lost."""
+        free = [k for k in range(SLOTS) if (exchange.ident, k) not in call.used]
+        half = {k for k, link in exchange.links.items() if link.half_us}
+        return next((k for k in free if k not in half), free[0] if free else None)
+
     def _timed_out(self, attempt: Attempt) -> None:
         if not attempt.sent:
             self._end_attempt(attempt, i.Outcome.UNREACHABLE)
             return
-        # The give-up leaves before the module hears of the time-out, so that no two attempts are ever out.
         attempt.given_up = True
+        link = attempt.link
+        link.mute = link.mute + 1 if link.heard_us < attempt.sent_us else 0
+        others = [k.heard_us for k in self.exchanges[link.exchange].links.values() if k is not link and k.up]
+        if link.mute and (link.mute >= MUTE_MOST or max(others, default=0) > attempt.sent_us + MUTE_US):
+            self._drop_mute(link)
+            return
+        # The give-up leaves before the module hears of the time-out, so that no two attempts are ever out.
         self._queue(attempt.link, GiveUpDue(attempt))
         self._set_timer(GIVE_UP_STUCK_US, TimerKind.GIVE_UP, attempt)
 
+    def _drop_mute(self, link: Link) -> None:
+        """Guards against a link that is open and of no further use: what is set up on it comes to nothing,
+        and the ends of the calls that stand there are told on the next link that is opened."""
+        self.counters["links_mute"] += 1
+        self._log(f"link {link.ident} closed: it has fallen silent")
+        self._drop(link)
+
     def _end_attempt(
         self,
         attempt: Attempt,
@@ -539,6 +664,7 @@
     ) -> None:
         call = attempt.call
         attempt.link.attempts.discard(attempt)
+        self._drop_timer(attempt.timer)
         call.attempt = None
         self.counters[f"attempts_{outcome.name.lower()}"] += 1
         self._events.append(
@@ -551,29 +677,22 @@
     # --- calls ---
 
     def _offer(self, caller: Caller, set_up: SetUp) -> None:
-        self.counters["set_ups"] += 1
-        if set_up.call in self.calls:
-            # Guards against a repeated set-up: its call gets one answer.
-            self.counters["set_ups_repeated"] += 1
-            return
-        figures = set_up.figures
-        wait_us = min(set_up.wait_ms, MAX_WAIT_MS) * 1000
+        """Take a set-up in, if it can be used. Guards the rule that no call is served that may not be."""
+        caller.trust = max(caller.trust, 1)
+        wait_us = set_up.wait_ms * 1000
         deadline = self._now + wait_us - min(DEADLINE_MARGIN_US, wait_us // 10)
         call = self.calls[set_up.call] = Call(set_up, caller.ident, deadline)
         caller.owed.add(set_up.call)
         self._over.pop(set_up.call, None)
-        self._set_timer(deadline + OVERDUE_US - self._now, TimerKind.DEADLINE, call)
-        try:
-            called = int(set_up.called, 16)
-        except ValueError:
-            called = 0
+        call.timer = self._set_timer(deadline + OVERDUE_US - self._now, TimerKind.DEADLINE, call)
+        figures = set_up.figures
         self._events.append(
             i.CallOffered(
                 call=set_up.call,
-                class_index=self._classes.get(settings_word(set_up.class_name), -1),
-                destination=figures.get("dest", -1),
-                called=called,
-                width=max(1, figures.get("width", 1)),
+                class_index=self._classes[settings_word(set_up.class_name)],
+                destination=figures["dest"],
+                called=int(set_up.called, 16),
+                width=figures["width"],
                 deadline_us=deadline,
                 transit=figures.get("transit", 0) == 1,
                 cut_before=figures.get("again", 0) == 1,
@@ -581,6 +700,70 @@
             )
         )
 
+    def _unusable(self, set_up: SetUp) -> str:
+        """What is wrong with a set-up that has been read, by the settings and the protocol."""
+        number = self._classes.get(settings_word(set_up.class_name))
+        if number is None:
+            return "unknown class"
+        cls, figures = self.settings.classes[number], set_up.figures
+        good = {
+            "id": set_up.call != 0,
+            "tenant": not self._tenants or settings_word(set_up.tenant) in self._tenants,
+            "number called": CALLED.fullmatch(set_up.called) is not None,
+            "wait": 1 <= set_up.wait_ms <= cls.give_up_us // 1000 + 1,
+            "dest": 0 <= figures.get("dest", -1) < NUMBERS,
+            "width": figures.get("width") == cls.width,
+            "via": -1 <= figures.get("via", -1) < NUMBERS,
+            "transit": figures.get("transit", 0) in (0, 1),
+            "again": figures.get("again", 0) in (0, 1),
+        }
+        return ", ".join(name for name, is_good in good.items() if not is_good)
+
+    def _asked(self, caller: Caller, message: SetUp | Unusable) -> None:
+        """A set-up from a caller."""
+        self.counters["set_ups"] += 1
+        known = self.calls.get(message.call)
+        if known is not None or (message.call in self._over and self._over[message.call].answered):
+            # Guards against a second answer: the id is that of another call, or has had its answer. On the
+            # connection of a call without answer it can no longer be told which set-up is meant: it fails.
+            # On another connection no message can name the id and not be taken for the call's answer or end.
+            self.counters["set_ups_repeated"] += 1
+            if known is None or known.caller == caller.ident:
+                if known is not None and known.stands_at is None:
+                    self._fail(known)
+                self._fault(caller, "id used again")
+            else:
+                self._shut(caller, f"id {message.call:016x} is another caller's")
+            return
+        reason = message.reason if isinstance(message, Unusable) else self._unusable(message)
+        if reason or isinstance(message, Unusable):
+            self.counters["set_ups_unusable"] += 1
+            self._queue(caller, Release(message.call, ReleaseCause.INVALID_CONTENTS))
+            self._fault(caller, f"set-ups that cannot be used, the last for its {reason}")
+        elif len(caller.owed) >= OPEN_MOST or len(self.calls) >= CALLS_MOST or self._answer_all:
+            # Guards the others' calls and the memory against a flood.
+            self.counters["set_ups_over_budget"] += 1
+            stay_ms = self.settings.max_stay_away_us // 1000
+            self._queue(caller, Release(message.call, ReleaseCause.CONGESTION, stay_away_ms=stay_ms))
+        else:
+            self._offer(caller, message)
+
+    def _fault(self, caller: Caller, why: str) -> None:
+        """Guards the others' calls against a caller that floods the program with what is of no use."""
+        caller.faults += 1
+        if caller.faults >= FAULTS_MOST and not caller.finishing:
+            self.counters["callers_flooding"] += 1
+            self._shut(caller, why)
+
+    def _shut(self, caller: Caller, why: str) -> None:
+        """Take nothing more from a caller: its open calls fail, then it is closed."""
+        self.counters["callers_shut"] += 1
+        self._log(f"caller {caller.ident} closed: {why}")
+        caller.finishing = True
+        for ident in sorted(caller.owed):
+            self._fail(self.calls[ident])
+        self._close_if_finished(caller)
+
     def _final(self, ident: int, message: Answer | Release) -> None:
         """Give a call its one final answer."""
         call = self.calls.get(ident)
@@ -588,12 +771,14 @@
             return
         caller = self.callers[call.caller]
         caller.owed.discard(ident)
+        self._drop_timer(call.timer)
         if isinstance(message, Answer):
             self.counters["answers"] += 1
+            caller.trust = 2
         else:
             refused = message.cause == ReleaseCause.CONGESTION
             self.counters["refusals" if refused else "failures"] += 1
-            self._forget(call)
+            self._forget(call, answered=True)
         self._queue(caller, message)
 
     def _fail(self, call: Call) -> None:
@@ -610,15 +795,18 @@
                 self._queue(attempt.link, Release(call.ident, ReleaseCause.NORMAL))
             self._end_attempt(attempt, i.Outcome.CANCELLED, concluded=True)
 
-    def _forget(self, call: Call) -> None:
-        self.calls.pop(call.ident, None)
+    def _forget(self, call: Call, answered: bool = False) -> None:
+        if self.calls.pop(call.ident, None) is None:
+            return
+        self._drop_timer(call.timer)
         if call.caller in self.callers:
             self.callers[call.caller].owed.discard(call.ident)
-        self._remember_ended(call.ident, call.stands_at is not None)
+        stood = call.stands_at is not None
+        self._remember_ended(call.ident, stood, answered or stood)
 
-    def _remember_ended(self, ident: int, stood: bool) -> None:
+    def _remember_ended(self, ident: int, stood: bool, answered: bool) -> None:
         self._over.pop(ident, None)
-        self._over[ident] = self._now + FORGET_US, stood
+        self._over[ident] = Over(self._now + FORGET_US, stood, answered)
 
     def _end_standing(self, call: Call, outcome: i.Outcome, report: i.Report | None = None) -> None:
         """A call that stood is over."""
@@ -648,26 +836,33 @@
         self.counters["callers_accepted"] += 1
         most = self.sockets - DESCRIPTORS_KEPT - SLOTS * len(self.exchanges)
         if len(self.callers) >= most:
-            # Guards the descriptor limit: the connection longest unused makes room, else the new one.
+            # Guards the descriptor limit: the connection that is worth least makes room, else the new one.
+            # Those on which calls have stood go last, else a flood of new connections ends them.
             self.counters["callers_over_budget"] += 1
-            idle = [c for c in self.callers.values() if not (c.owed or c.outbox or c.in_flight)]
+            idle = [c for c in self.callers.values() if c.idle]
             if not idle:
                 self._effects.append(Close(stream))
                 return
-            self._drop(min(idle, key=lambda c: c.active_us))
-        caller = self.callers[stream] = Caller(stream, up=True, active_us=self._now)
-        unsent, self._unsent = self._unsent, []
-        for _, release in unsent:
-            self._queue(caller, release)
+            self._drop(min(idle, key=lambda c: (c.trust, c.active_us)))
+        self.callers[stream] = Caller(stream, up=True, accepted_us=self._now, active_us=self._now)
 
     def _from_caller(self, caller: Caller, message: Message) -> None:
+        if caller.finishing:
+            return
         caller.active_us = self._now
-        if isinstance(message, SetUp):
-            self._offer(caller, message)
+        caller.half_us = caller.half_us and self._now
+        if isinstance(message, SetUp | Unusable):
+            self._asked(caller, message)
+            if caller.trust:
+                self._send_unsent(caller)
         elif isinstance(message, Release):
             call = self.calls.get(message.call)
             if call is None:
+                # It may be that of a call which stood before this program was started anew.
                 self.counters["late_messages"] += 1
+                self._queue(caller, ReleaseHeard(message.call))
+                if message.call not in self._over:
+                    self._fault(caller, "releases of unknown calls")
             elif call.stands_at is None:
                 self.counters["callers_gave_up"] += 1
                 self._leave(call)
@@ -676,25 +871,40 @@
                 self._end_standing(call, i.Outcome.CANCELLED)
                 self._release_to_exchange(exchange, Release(call.ident, message.cause))
                 self._queue(caller, ReleaseHeard(call.ident))
-        elif isinstance(message, ReleaseHeard):
-            caller.unheard.pop(message.call, None)
+        elif isinstance(message, ReleaseHeard) and caller.unheard.pop(message.call, None) is not None:
+            self.counters["releases_heard"] += 1
         elif isinstance(message, Test):
             self._queue(caller, TestResult(message.call, True))
+            self._fault(caller, "tests")
         else:
             self.counters["messages_passed_over"] += 1
+            self._fault(caller, "messages of no use")
 
     def _release_to_caller(self, preferred: int, release: Release) -> None:
-        """Send the release of a call that stood on any open connection, or keep it for the next one."""
+        """Send the release of a call that stood on the best connection, or keep it for the next one.
+
+        Any will do for its caller, but not one of somebody else's: where the call's own is no more, those go
+        first on which calls have stood, and one that never set up a call is the last resort.
+        """
         self.counters["releases_to_callers"] += 1
         caller = self.callers.get(preferred)
         if caller is None or caller.finishing:
-            open_ = [c for c in self.callers.values() if not c.finishing]
-            caller = max(open_, key=lambda c: c.active_us) if open_ else None
-        if caller is None:
+            caller = self._best_caller()
+        if caller is None or not caller.trust:
             self._unsent.append((self._now + STANDING_RELEASE_US, release))
         else:
             self._queue(caller, release)
 
+    def _best_caller(self) -> Caller | None:
+        open_ = [c for c in self.callers.values() if not c.finishing]
+        return max(open_, key=lambda c: (c.trust, c.active_us)) if open_ else None
+
+    def _send_unsent(self, caller: Caller) -> None:
+        """Send the releases that wait for a caller."""
+        unsent, self._unsent = self._unsent, []
+        for _, release in unsent:
+            self._queue(caller, release)
+
     def _lose_caller(self, caller: Caller) -> None:
         """The connection is closed: what was owed on it is owed no more, releases go another way."""
         del self.callers[caller.ident]
@@ -709,7 +919,7 @@
         waiting = [m for m in (*stream.in_flight, *stream.outbox) if isinstance(m, Release)]
         lately = [m for at, m in stream.unheard.values() if at > self._now - RESEND_US]
         releases = {m.call: m for m in (*lately, *waiting)}
-        return [m for ident, m in releases.items() if self._over.get(ident, (0, False))[1]]
+        return [m for ident, m in releases.items() if ident in self._over and self._over[ident].stood]
 
     def _peer_done(self, stream: int) -> None:
         """Nothing more comes in on a stream. A caller still gets the answers that it is owed."""
@@ -722,7 +932,7 @@
             self._close_if_finished(caller)
 
     def _close_if_finished(self, caller: Caller) -> None:
-        if caller.finishing and not (caller.owed or caller.outbox or caller.in_flight):
+        if caller.finishing and caller.idle:
             self._drop(caller)
 
     # --- exchanges ---
@@ -753,15 +963,23 @@
         if update.kind is None or update.number <= self._cursor:
             return
         self._cursor = max(self._cursor, update.number)
-        named = set()
+        named = {listed.entry.exchange for listed in update.listed}
+        told: list[i.ListEntry] = []  # to the module
         for listed in update.listed:
             entry = listed.entry
-            named.add(entry.exchange)
             known = self.exchanges.get(entry.exchange)
             if known is None:
+                if entry.state is i.ListState.GONE:
+                    continue
+                # Guards against calls that would reach a new exchange under the id of the one that was there.
+                for other in self.exchanges.values():
+                    if other.address == listed.address and other.ident not in named:
+                        other.state = i.ListState.GONE
+                        told.append(i.ListEntry(other.ident, other.number, other.state, other.started_us))
                 known = self.exchanges[entry.exchange] = Exchange(
                     entry.exchange, entry.number, entry.state, entry.started_us, listed.address
                 )
+            told.append(entry)
             if entry.started_us > known.started_us:
                 self._cut(known, entry.started_us, "has started anew")
             known.state, known.started_us = entry.state, entry.started_us
@@ -774,12 +992,14 @@
                 if known.ident not in named:
                     known.state = i.ListState.GONE
         self.counters["list_updates"] += 1
-        self._events.append(i.ExchangeList(update.kind, [listed.entry for listed in update.listed]))
-        for exchange in self.exchanges.values():
+        self._events.append(i.ExchangeList(update.kind, told))
+        for exchange in list(self.exchanges.values()):
             if exchange.state is i.ListState.GONE:
                 self._cut(exchange, self._now + 1, "is gone")
                 for link in list(exchange.links.values()):
                     self._drop(link)
+                # Guards the memory and the descriptors kept for exchanges: on long days they come and go.
+                del self.exchanges[exchange.ident]
             else:
                 self._keep_link(exchange)
 
@@ -788,10 +1008,12 @@
         return exchange.state is not i.ListState.GONE and not own
 
     def _keep_link(self, exchange: Exchange) -> None:
-        """Have one link to every exchange that can be used: group states come on open links alone."""
-        if self._usable(exchange) and 0 not in exchange.links:
+        """Have links to every exchange that can be used, one after the other: group states come on open links
+        alone."""
+        slot = next((k for k in range(KEPT) if k not in exchange.links or not exchange.links[k].up), KEPT)
+        if self._usable(exchange) and slot < KEPT and slot not in exchange.links:
             if self._now >= exchange.retry_us:
-                self._connect(exchange, 0)
+                self._connect(exchange, slot)
             else:
                 self._set_timer(exchange.retry_us - self._now, TimerKind.RECONNECT, exchange)
 
@@ -810,13 +1032,14 @@
         if link is None:
             self._effects.append(Close(stream))
             return
-        link.up = True
+        link.up, link.up_us, link.heard_us = True, self._now, self._now
         exchange = self.exchanges[link.exchange]
         exchange.down_us, exchange.broke = 0, False
         unsent, exchange.unsent = exchange.unsent, []
         for _, release in unsent:
             self._queue(link, release)
         self._ready[link.ident] = link
+        self._keep_link(exchange)
 
     def _connect_failed(self, stream: int, refused: bool) -> None:
         link = self.links.get(stream)
@@ -825,6 +1048,7 @@
         self.counters["connects_refused" if refused else "connects_timed_out"] += 1
         exchange = self.exchanges[link.exchange]
         self._lose_link(link)
+        exchange.down_us = exchange.down_us or self._now  # others may be open, and silent
         idle = [other for other in exchange.links.values() if other.up]
         if refused and (exchange.broke or not idle):
             # A link broke and nothing listens: the process has died, and its calls with it. Guards against
@@ -834,8 +1058,8 @@
                 self._drop(other)
 
     def _broken(self, link: Link) -> None:
-        """The peer ended a link. The first one is reconnected at once, which tells whether it has died."""
-        if link.slot == 0:
+        """The peer ended a link. Those kept are reconnected at once, which tells whether it has died."""
+        if link.slot < KEPT:
             self.exchanges[link.exchange].broke = True
 
     def _lose_link(self, link: Link) -> None:
@@ -844,7 +1068,14 @@
         del self.links[link.ident]
         del exchange.links[link.slot]
         for attempt in sorted(link.attempts, key=lambda a: a.call.ident):
-            if not attempt.sent:
+            if not attempt.sent and link.up_us and attempt.moves < MOVES_MOST and self._usable(exchange):
+                # Guards against taking the reset of a new or idle link for a dead exchange: nothing has left,
+                # so the attempt goes on over another link.
+                attempt.moves += 1
+                attempt.link = exchange.links.get(link.slot) or self._connect(exchange, link.slot)
+                attempt.link.attempts.add(attempt)
+                self._queue(attempt.link, attempt)
+            elif not attempt.sent:
                 self._end_attempt(attempt, i.Outcome.UNREACHABLE)
             else:
                 self._end_attempt(attempt, i.Outcome.TIMED_OUT if attempt.given_up else i.Outcome.CUT)
@@ -870,7 +1101,9 @@
 
     def _from_exchange(self, link: Link, message: Message) -> None:
         exchange = self.exchanges[link.exchange]
-        exchange.failures = 0
+        exchange.failures, exchange.down_us = 0, 0
+        link.half_us = link.half_us and self._now
+        link.heard_us, link.missed_us, link.mute = self._now, 0, 0
         call = self.calls.get(message.call)
         attempt = call.attempt if call is not None else None
         if attempt is not None and (attempt.link is not link or attempt.given_up or not attempt.sent):
@@ -880,13 +1113,19 @@
         elif isinstance(message, Release):
             self._released(exchange, link, message, attempt)
         elif isinstance(message, GroupState):
+            for other in exchange.links.values():
+                if other is not link and other.up and not other.missed_us:
+                    other.missed_us = self._now
             self._tell_report(exchange, message.report)
         elif isinstance(message, ReleaseHeard):
             link.unheard.pop(message.call, None)
         elif isinstance(message, Test):
             self._queue(link, TestResult(message.call, True))
         elif not isinstance(message, Progress):
-            self.counters["messages_passed_over"] += 1
+            # No exchange sends it: a message came spoilt, and what is behind it is lost.
+            self.counters["garbled"] += 1
+            self._log(f"link {link.ident} closed: it sent {type(message).__name__}")
+            self._peer_done(link.ident)
 
     def _tell_report(self, exchange: Exchange, figures: Mapping[str, float]) -> None:
         self._events.append(i.ExchangeReport(exchange.ident, True, False, 0, _report(figures)))
@@ -905,6 +1144,7 @@
             return
         call = attempt.call
         link.attempts.discard(attempt)
+        self._drop_timer(attempt.timer)
         call.attempt = None
         self.counters["attempts_answered"] += 1
         self._final(call.ident, Answer(call.ident, answer.description))
@@ -922,7 +1162,7 @@
         if attempt is not None:
             outcome = OUTCOMES.get(release.cause, i.Outcome.NO_LINE)  # type: ignore[call-overload]
             self._end_attempt(attempt, outcome, cause=NOTES.get(release.note, i.Cause.NONE), report=report)
-        elif call is not None and call.stands_at == exchange.ident:
+        elif call is not None and call.stands_at == exchange.ident and release.cause in ENDS:
             over = release.cause == ReleaseCause.NORMAL
             self._end_standing(call, i.Outcome.RELEASED if over else i.Outcome.CUT, report)
             self._release_to_caller(call.caller, Release(call.ident, release.cause))
@@ -931,10 +1171,9 @@
             if report is not None:
                 self._events.append(i.ExchangeReport(exchange.ident, True, False, 0, report))
             self.counters["late_messages"] += 1
-            ended = (ReleaseCause.NORMAL, ReleaseCause.TEMPORARY_FAILURE)
-            if call is None and release.call not in self._over and release.cause in ended:
+            if call is None and release.call not in self._over and release.cause in ENDS:
                 # The call stood before this program was started anew; its caller still has to hear.
-                self._remember_ended(release.call, True)
+                self._remember_ended(release.call, True, True)
                 self._release_to_caller(0, Release(release.call, release.cause))
 
     # --- writing ---
@@ -965,6 +1204,8 @@
             messages.append(message)
             stream.in_flight.append(item)
         if messages:
+            if isinstance(stream, Caller):
+                stream.told = stream.told or not all(isinstance(m, ReleaseHeard) for m in messages)
             stream.write_began_us = self._now
             self._effects.append(Write(stream.ident, tuple(messages)))
 
@@ -976,7 +1217,7 @@
         if self.exchanges[attempt.link.exchange].state is not i.ListState.READY:
             self._end_attempt(attempt, i.Outcome.NOT_SENT)
             return None
-        attempt.sent = True
+        attempt.sent, attempt.sent_us = True, self._now
         self.counters["set_ups_sent"] += 1
         wait_ms = max(1, (attempt.due_us - self._now) // 1000)
         old = call.set_up
@@ -1020,12 +1261,28 @@
             if stream.in_flight and self._now - stream.write_began_us > STUCK_US:
                 self._log(f"stream {stream.ident} is stuck")
                 self._drop(stream)
+            elif isinstance(stream, Link) and stream.up and stream.missed_us:
+                links = self.exchanges[stream.exchange].links.values()
+                if max(k.heard_us for k in links) > stream.missed_us + MUTE_US:
+                    self._drop_mute(stream)
+        for caller in list(self.callers.values()):
+            caller.faults = max(0, caller.faults - FAULTS_FORGIVEN)
+            if caller.finishing:
+                continue
+            if caller.half_us and self._now - caller.half_us > HALF_READ_US:
+                self._shut(caller, "its message stays half read")
+            elif not caller.told and caller.idle and self._now - caller.accepted_us > SPEAK_US:
+                self.counters["callers_silent"] += 1
+                self._drop(caller)
         self._unsent = [kept for kept in self._unsent if kept[0] > self._now]
+        held = self._unsent and self._unsent[0][0] - STANDING_RELEASE_US < self._now - HOLD_RELEASE_US
+        if held and (best := self._best_caller()) is not None:
+            self._send_unsent(best)
         for exchange in self.exchanges.values():
             exchange.unsent = [kept for kept in exchange.unsent if kept[0] > self._now]
             if exchange.standing and exchange.down_us and self._now - exchange.down_us > SILENT_US:
                 self._cut(exchange, self._now + 1, "cannot be reached")
-        while self._over and (first := next(iter(self._over.items())))[1][0] <= self._now:
+        while self._over and (first := next(iter(self._over.items())))[1].until_us <= self._now:
             del self._over[first[0]]
 
 
