Serve each connection with one task and write at once; find who makes room without a search

Checked with a sampling profiler: the time goes into tasks, nurseries and events of each connection, none of it into a single place; the search for the connection that makes room (950 callers for each accept) was part of it. At fault: net.py `_run_stream` (a nursery, a writer task and an event for each connection), session.py `_accepted`.

--- a/latchturn/brain.py
+++ b/latchturn/brain.py
@@ -438,8 +438,8 @@
         frees = int(short * call.cls.holding_us / max(1, group.size - group.told_free))
         if self.now + frees >= call.first_us + call.cls.aim_us:
             return self.settings.max_stay_away_us
-        # Guards against callers that come too late for their aim where nothing but chance stood in the way: an
-        # exchange that fails set-ups at random has used the call's attempts up.
+        # Guards against callers that come too late for their aim where nothing but chance stood in the way:
+        # an exchange that fails set-ups at random has used the call's attempts up.
         soon = int(SOON * self.aim_us) if call.attempts >= self.settings.max_attempts else 0
         return max(frees, self._opens(call) - self.now, soon)
 
--- a/latchturn/net.py
+++ b/latchturn/net.py
@@ -10,6 +10,7 @@
 import contextlib
 import json
 import math
+import os
 import queue
 import signal
 import sys
@@ -24,7 +25,7 @@
 from . import protocol, session
 
 RECEIVE = 8 * 1024  # about 50 messages: the other connections have their turn after them
-BACKLOG = 512
+BACKLOG = 4096  # as far as the system allows: callers come by the hundred at once
 ACCEPT_PAUSE_S = 0.05  # after an accept that failed for want of descriptors or memory
 RESTART_PAUSE_S = 0.1  # of a service task that raised
 
@@ -47,16 +48,11 @@
 
 
 class _Outlet:
-    """What is to be written on one stream, and the means to end its task."""
+    """The socket of one stream, and the means to end its task."""
 
     def __init__(self) -> None:
         self.scope = trio.CancelScope()
-        self.todo: bytes | None = None
-        self.wake = trio.Event()
-
-    def write(self, data: bytes) -> None:
-        self.todo = data
-        self.wake.set()
+        self.sock: trio.socket.SocketType | None = None
 
 
 class Node:
@@ -130,7 +126,7 @@
         match effect:
             case session.Write(stream, messages):
                 if stream in self._outlets:
-                    self._outlets[stream].write(b"".join(map(protocol.encode, messages)))
+                    self._write(stream, self._outlets[stream], b"".join(map(protocol.encode, messages)))
             case session.Connect(stream):
                 outlet = self._outlets[stream] = _Outlet()
                 self._nursery.start_soon(self._guard, self._run_link, effect, outlet)
@@ -206,13 +202,13 @@
     # --- any stream ---
 
     async def _run_stream(self, ident: int, sock: trio.socket.SocketType, outlet: _Outlet) -> None:
-        """Read and write until both are over or the reducer closes the stream."""
+        """Read until the reducer closes the stream or the connection breaks."""
+        outlet.sock = sock
         try:
             with outlet.scope:
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._write, ident, sock, outlet)
-                    await self._read(ident, sock)
-        except* OSError:
+                await self._read(ident, sock)
+                await trio.sleep_forever()  # the peer sends no more, but may still be written to
+        except OSError:
             pass  # the peer has reset the connection: all that is left is to say so
         finally:
             # The socket is closed before the reducer hears of it, so that its descriptor is free again.
@@ -238,15 +234,31 @@
         else:
             self.tell(session.Ended(ident))
 
-    async def _write(self, ident: int, sock: trio.socket.SocketType, outlet: _Outlet) -> None:
-        while True:
-            await outlet.wake.wait()
-            outlet.wake = trio.Event()
-            if outlet.todo is not None:
-                data, outlet.todo = memoryview(outlet.todo), None
-                while data:
-                    data = data[await sock.send(data) :]
-                self.tell(session.Wrote(ident))
+    def _write(self, ident: int, outlet: _Outlet, data: bytes) -> None:
+        """Write at once what the socket takes, as it nearly always takes all; a task writes the rest."""
+        if outlet.sock is None:
+            return
+        try:
+            written = os.write(outlet.sock.fileno(), data)
+        except BlockingIOError:
+            written = 0
+        except OSError:
+            outlet.scope.cancel()
+            return
+        if written == len(data):
+            self.tell(session.Wrote(ident))
+        else:
+            self._nursery.start_soon(self._guard, self._write_rest, ident, outlet, memoryview(data)[written:])
+
+    async def _write_rest(self, ident: int, outlet: _Outlet, data: memoryview) -> None:
+        assert outlet.sock is not None
+        try:
+            while data:
+                data = data[await outlet.sock.send(data) :]
+        except (OSError, trio.ClosedResourceError):
+            outlet.scope.cancel()
+        else:
+            self.tell(session.Wrote(ident))
 
     # --- the command channel ---
 
--- a/latchturn/session.py
+++ b/latchturn/session.py
@@ -404,6 +404,7 @@
         self.calls: dict[int, Call] = {}
         self.exchanges: dict[int, Exchange] = {}
         self.callers: dict[int, Caller] = {}
+        self._strangers: dict[int, Caller] = {}  # those that have set up no call, the oldest first
         self.links: dict[int, Link] = {}
         self._controller = Controller(settings, seed)
         self._random = random.Random(seed)
@@ -690,6 +691,7 @@
     def _offer(self, caller: Caller, set_up: SetUp) -> None:
         """Take a set-up in, if it can be used. Guards the rule that no call is served that may not be."""
         caller.trust = max(caller.trust, 1)
+        self._strangers.pop(caller.ident, None)
         wait_us = set_up.wait_ms * 1000
         deadline = self._now + wait_us - min(DEADLINE_MARGIN_US, wait_us // 10)
         call = self.calls[set_up.call] = Call(set_up, caller.ident, deadline)
@@ -850,12 +852,15 @@
             # Guards the descriptor limit: the connection that is worth least makes room, else the new one.
             # Those on which calls have stood go last, else a flood of new connections ends them.
             self.counters["callers_over_budget"] += 1
-            idle = [c for c in self.callers.values() if c.idle]
-            if not idle:
+            least = next((c for c in self._strangers.values() if c.idle), None)
+            if least is None and (idle := [c for c in self.callers.values() if c.idle]):
+                least = min(idle, key=lambda c: (c.trust, c.active_us))
+            if least is None:
                 self._effects.append(Close(stream))
                 return
-            self._drop(min(idle, key=lambda c: (c.trust, c.active_us)))
-        self.callers[stream] = Caller(stream, up=True, accepted_us=self._now, active_us=self._now)
+            self._drop(least)
+        caller = Caller(stream, up=True, accepted_us=self._now, active_us=self._now)
+        self.callers[stream] = self._strangers[stream] = caller
 
     def _from_caller(self, caller: Caller, message: Message) -> None:
         if caller.finishing:
@@ -919,6 +924,7 @@
     def _lose_caller(self, caller: Caller) -> None:
         """The connection is closed: what was owed on it is owed no more, releases go another way."""
         del self.callers[caller.ident]
+        self._strangers.pop(caller.ident, None)
         for ident in list(caller.owed):
             self.counters["callers_vanished"] += 1
             self._leave(self.calls[ident])
