Count a caller's time from when its set-up may have come, not from when it was read

At fault: session.py `_offer`. Now `net` tells how long input may have lain unread, by the last looks at the sockets, and the reducer takes it off the wait.

--- a/latchturn/__main__.py
+++ b/latchturn/__main__.py
@@ -40,7 +40,7 @@
         return 2
     node = Node(config, core, lambda: read(path)[0])
     try:
-        trio.run(node.run)
+        trio.run(node.run, instruments=[node.polls])
     finally:
         log(node.counters_line(), always=True)
         flush_log()
--- a/latchturn/net.py
+++ b/latchturn/net.py
@@ -47,6 +47,28 @@
         return now
 
 
+class Polls(trio.abc.Instrument):
+    """Knows how long input may have lain unread when it is read: since the last look at the sockets that did
+    not show it. A look that had to wait shows what comes as it comes."""
+
+    WAITED_NS = 200_000  # a look that took longer did wait
+
+    def __init__(self, read_ns: Callable[[], int] = time.monotonic_ns) -> None:
+        self._read_ns = read_ns
+        self._began = self._ended = self._since = read_ns()
+
+    def before_io_wait(self, timeout: float) -> None:
+        self._began = self._read_ns()
+
+    def after_io_wait(self, timeout: float) -> None:
+        now = self._read_ns()
+        self._since = now if now - self._began > self.WAITED_NS else self._ended
+        self._ended = now
+
+    def waited_us(self) -> int:
+        return (self._read_ns() - self._since) // 1000
+
+
 class _Outlet:
     """The socket of one stream, and the means to end its task."""
 
@@ -65,6 +87,7 @@
         self.core = core
         self._reread = reread  # the configuration file anew; raises if it cannot be used
         self.clock = Clock()
+        self.polls = Polls()
         self._outlets: dict[int, _Outlet] = {}
         self._channel = trio.CancelScope()
         self._accepted = 0
@@ -222,7 +245,7 @@
             half = False
             while data := await sock.recv(RECEIVE):
                 for message in decoder.feed(data):
-                    self.tell(session.Heard(ident, message))
+                    self.tell(session.Heard(ident, message, self.polls.waited_us()))
                 if decoder.half_read != half:
                     half = decoder.half_read
                     self.tell(session.HalfRead(ident, half))
--- a/latchturn/session.py
+++ b/latchturn/session.py
@@ -129,6 +129,7 @@
 class Heard:
     stream: int
     message: Message
+    waited_us: int = 0  # how long it may have lain unread
 
 
 @dataclass(slots=True, frozen=True)
@@ -460,11 +461,11 @@
 
     def _take(self, happened: Input) -> None:
         match happened:
-            case Heard(stream, message):
+            case Heard(stream, message, waited_us):
                 if stream in self.links:
                     self._from_exchange(self.links[stream], message)
                 elif stream in self.callers:
-                    self._from_caller(self.callers[stream], message)
+                    self._from_caller(self.callers[stream], message, waited_us)
             case Wrote(stream):
                 self._wrote(stream)
             case Tick():
@@ -688,12 +689,14 @@
 
     # --- calls ---
 
-    def _offer(self, caller: Caller, set_up: SetUp) -> None:
-        """Take a set-up in, if it can be used. Guards the rule that no call is served that may not be."""
+    def _offer(self, caller: Caller, set_up: SetUp, waited_us: int) -> None:
+        """Take in a set-up that can be used. Its caller counts the time from its last byte, so what a busy
+        machine left it unread comes off."""
         caller.trust = max(caller.trust, 1)
         self._strangers.pop(caller.ident, None)
         wait_us = set_up.wait_ms * 1000
-        deadline = self._now + wait_us - min(DEADLINE_MARGIN_US, wait_us // 10)
+        deadline = self._now - waited_us + wait_us - min(DEADLINE_MARGIN_US, wait_us // 10)
+        deadline = max(deadline, self._now)
         call = self.calls[set_up.call] = Call(set_up, caller.ident, deadline)
         caller.owed.add(set_up.call)
         self._over.pop(set_up.call, None)
@@ -732,7 +735,7 @@
         }
         return ", ".join(name for name, is_good in good.items() if not is_good)
 
-    def _asked(self, caller: Caller, message: SetUp | Unusable) -> None:
+    def _asked(self, caller: Caller, message: SetUp | Unusable, waited_us: int) -> None:
         """A set-up from a caller."""
         self.counters["set_ups"] += 1
         known = self.calls.get(message.call)
@@ -759,7 +762,7 @@
             stay_ms = self.settings.max_stay_away_us // 1000
             self._queue(caller, Release(message.call, ReleaseCause.CONGESTION, stay_away_ms=stay_ms))
         else:
-            self._offer(caller, message)
+            self._offer(caller, message, waited_us)
 
     def _fault(self, caller: Caller, why: str) -> None:
         """Guards the others' calls against a caller that floods the program with what is of no use."""
@@ -862,13 +865,13 @@
         caller = Caller(stream, up=True, accepted_us=self._now, active_us=self._now)
         self.callers[stream] = self._strangers[stream] = caller
 
-    def _from_caller(self, caller: Caller, message: Message) -> None:
+    def _from_caller(self, caller: Caller, message: Message, waited_us: int) -> None:
         if caller.finishing:
             return
         caller.active_us = self._now
         caller.half_us = caller.half_us and self._now
         if isinstance(message, SetUp | Unusable):
-            self._asked(caller, message)
+            self._asked(caller, message, waited_us)
             if caller.trust:
                 self._send_unsent(caller)
         elif isinstance(message, Release):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -14,6 +14,7 @@
 import unittest
 
 from latchturn import protocol as p
+from latchturn.net import Polls
 
 from .helpers import Peer, Program, group_state, set_up
 
@@ -109,6 +110,26 @@
             self.assertGreaterEqual(time.monotonic() - reset_at, 0.3)
 
 
+class Waiting(unittest.TestCase):
+    def test_input_may_have_come_since_the_last_look_that_did_not_show_it(self) -> None:
+        now = 0
+        polls = Polls(lambda: now)
+
+        def look(at_ms: int, took_ms: int) -> None:
+            nonlocal now
+            now = at_ms * 1_000_000
+            polls.before_io_wait(1.0)
+            now += took_ms * 1_000_000
+            polls.after_io_wait(1.0)
+
+        look(10, 50)  # it waited: what it shows has come just now
+        now += 1_000_000
+        self.assertEqual(polls.waited_us(), 1000)
+        look(90, 0)  # it did not: what it shows may have come since the one before, at 60 ms
+        now += 2_000_000
+        self.assertEqual(polls.waited_us(), 32_000)
+
+
 class Life(unittest.TestCase):
     def test_garbage_closes_its_connection_and_calls_taken_are_answered(self) -> None:
         with Program() as program:
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -163,6 +163,11 @@
         self.assertEqual(len(self.desk.hear(self.link[1], p.Answer(4, b""))), 1)
         self.assertGreater(self.desk.session.counters["errors"], 0)
 
+    def test_time_unread_comes_off_the_wait(self) -> None:
+        self.desk.session._controller.handle = lambda *_: []  # type: ignore[method-assign]
+        self.desk.do(s.Heard(1, set_up(5, wait_ms=1000), 300_000))
+        self.assertEqual(sent(self.desk.pass_time(700_000), p.Release), [1])
+
     def test_a_call_that_the_module_forgets_fails_at_its_deadline(self) -> None:
         self.desk.session._controller.handle = lambda *_: []  # type: ignore[method-assign]
         self.desk.hear(1, set_up(5, wait_ms=1000))
