Write to a link from the moment it is up: what waited for it was dropped

At fault: net.py `_run_link`, since the writes became immediate: the reducer heard `Connected` before the outlet had its socket, so the set-ups and releases that waited for the link went nowhere and it stayed busy until it counted as stuck. The socket is set first now, and a write on a stream that is not up is an error, not a line passed over.

--- a/latchturn/net.py
+++ b/latchturn/net.py
@@ -197,6 +197,7 @@
         outlet = self._outlets[ident] = _Outlet()
         with sock:
             sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
+            outlet.sock = sock  # before the reducer hears of it, since it may write at once
             self.tell(session.Accepted(ident))
             await self._run_stream(ident, sock, outlet)
 
@@ -211,7 +212,7 @@
                 with outlet.scope, trio.fail_after(connect.timeout_us / 1e6):
                     await sock.connect(connect.address)
                 if not outlet.scope.cancelled_caught:
-                    outlet.scope = trio.CancelScope()
+                    outlet.scope, outlet.sock = trio.CancelScope(), sock
                     self.tell(session.Connected(ident))
                     await self._run_stream(ident, sock, outlet)
                     return
@@ -226,7 +227,6 @@
 
     async def _run_stream(self, ident: int, sock: trio.socket.SocketType, outlet: _Outlet) -> None:
         """Read until the reducer closes the stream or the connection breaks."""
-        outlet.sock = sock
         try:
             with outlet.scope:
                 await self._read(ident, sock)
@@ -259,8 +259,7 @@
 
     def _write(self, ident: int, outlet: _Outlet, data: bytes) -> None:
         """Write at once what the socket takes, as it nearly always takes all; a task writes the rest."""
-        if outlet.sock is None:
-            return
+        assert outlet.sock is not None, f"a write on stream {ident}, which is not up"
         try:
             written = os.write(outlet.sock.fileno(), data)
         except BlockingIOError:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -149,6 +149,20 @@
                 self.assertIsNone(bad.next())
             self.assertEqual(program.links[1].next(), p.Release(1, p.ReleaseCause.NORMAL))
 
+    def test_a_set_up_that_waits_for_its_link_is_written_as_it_comes_up(self) -> None:
+        with Program(far=1) as program:
+            caller, cut = program.caller(), (program.links[1], program.seconds[1])
+            for link in cut:
+                link.send(p.Test(7))
+                self.assertEqual(link.next(), p.TestResult(7, True))  # the program has taken all states in
+            caller.send(set_up(1))
+            cut[0].next()
+            cut[0].send(p.Release(1, p.ReleaseCause.RESOURCE_UNAVAILABLE))
+            cut[1].next()
+            cut[1].send(p.Release(1, p.ReleaseCause.RESOURCE_UNAVAILABLE))
+            third = program.accept(1)  # the further links are opened for their attempts
+            self.assertEqual(third.next().call, 1)
+
     def test_a_dead_exchange_ends_its_calls_for_their_callers(self) -> None:
         with Program(far=1) as program:
             caller, link = program.caller(), program.links[1]
