Send a release that its caller has not confirmed another way too

Checked: callers confirm each release (counter `releases_heard`), so one that stays unconfirmed was not heard. At fault: session.py, which sent again only when the connection closed within a second. Now a release that is unconfirmed after 0.2 s goes over the next best connection as well, up to 2 s after the call's end.

--- a/latchturn/session.py
+++ b/latchturn/session.py
@@ -40,6 +40,8 @@
 DEADLINE_MARGIN_US = 50_000  # the module's deadline lies before the caller's: a busy machine is late
 OVERDUE_US = 15_000  # past the module's deadline the call is failed here
 STANDING_RELEASE_US = 8 * SECOND  # a release that could not be sent for so long is dropped
+HEARD_US = SECOND // 5  # a release that its caller has not confirmed by then goes another way too
+HEARD_MOST_US = 2 * SECOND  # after the call's end no more
 RESEND_US = SECOND  # a release written so lately on a connection that closes is sent on another
 STUCK_US = 2 * SECOND  # a write that takes longer has a vanished peer
 GIVE_UP_STUCK_US = 50_000  # a give-up that has not left by then takes its link along
@@ -914,8 +916,22 @@
         else:
             self._queue(caller, release)
 
-    def _best_caller(self) -> Caller | None:
-        open_ = [c for c in self.callers.values() if not c.finishing]
+    def _send_again(self, caller: Caller) -> None:
+        """Guards against a release that is lost with a connection whose caller is gone, or never cared for
+        it: callers confirm what they hear."""
+        for ident, (at, release) in list(caller.unheard.items()):
+            if at > self._now - HEARD_US:
+                continue
+            del caller.unheard[ident]
+            over = self._over.get(ident)
+            if over is None or not over.stood or self._now - over.until_us + FORGET_US > HEARD_MOST_US:
+                continue
+            if (other := self._best_caller(caller)) is not None:
+                self.counters["releases_sent_again"] += 1
+                self._queue(other, release)
+
+    def _best_caller(self, but: Caller | None = None) -> Caller | None:
+        open_ = [c for c in self.callers.values() if not c.finishing and c is not but]
         return max(open_, key=lambda c: (c.trust, c.active_us)) if open_ else None
 
     def _send_unsent(self, caller: Caller) -> None:
@@ -1292,6 +1308,8 @@
             self._follow(self._channel)
         streams: list[Stream] = [*self.callers.values(), *self.links.values()]
         for stream in streams:
+            if isinstance(stream, Caller):
+                self._send_again(stream)
             old = [k for k, (at, _) in stream.unheard.items() if at <= self._now - RESEND_US]
             for ident in old:
                 del stream.unheard[ident]
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -59,6 +59,23 @@
             written = desk.do(s.Closed(1)) + desk.pass_time(SECOND)
             self.assertEqual(written, [] if heard else [(2, p.Release(5, GIVE_UP))])
 
+    def test_a_release_that_is_not_confirmed_goes_another_way_too(self) -> None:
+        # Its connection may be open and nobody behind it listen.
+        for confirmed in (False, True):
+            desk = Desk()
+            desk.stand(5)
+            desk.do(s.Accepted(2))
+            desk.hear(2, set_up(6, to=2))
+            desk.hear(desk.link[2], p.Answer(6, b"yes"))
+            written = desk.hear(desk.link[1], p.Release(5, GIVE_UP))
+            self.assertIn((1, p.Release(5, GIVE_UP)), written)
+            if confirmed:
+                desk.hear(1, p.ReleaseHeard(5))
+            written = desk.pass_time(s.HEARD_US + s.SWEEP_US)
+            self.assertEqual(written, [] if confirmed else [(2, p.Release(5, GIVE_UP))])
+            desk.hear(2, p.ReleaseHeard(5))
+            self.assertEqual(desk.pass_time(SECOND), [])
+
     def test_a_release_goes_to_a_caller_whose_calls_have_stood_not_to_a_stranger(self) -> None:
         # Strangers connect by the hundred and are the latest to have spoken; what they are told is lost.
         desk = self.desk
