Answer operators at a door of their own: PING, INFO and live figures

The figures replace answers, refusals, failures, set_ups_sent and configurations: there is one registry.

--- a/latchturn/__main__.py
+++ b/latchturn/__main__.py
@@ -8,13 +8,14 @@
 
 import os
 import sys
+from dataclasses import replace
 
 import trio
 
 from .benchlink import SettingsError, read_settings
 from .interface import Settings
 from .net import Node, flush_log, log
-from .protocol import Config, ConfigError, read_config
+from .protocol import Config, ConfigError, parse_address, read_config
 from .session import Session
 
 
@@ -34,6 +35,8 @@
         if not path:
             raise ConfigError("GW_CONFIG names no file")
         config, settings = read(path)
+        if config.admin is None and (admin := os.environ.get("GW_ADMIN_ADDR")):
+            config = replace(config, admin=parse_address(admin))
         core = Session(settings, config.seed, config.sockets)
     except (ConfigError, ValueError) as error:
         print(f"latchturn: {error}", file=sys.stderr)
--- a/latchturn/brain.py
+++ b/latchturn/brain.py
@@ -217,6 +217,10 @@
             self._left(event)
         return self.actions
 
+    def avoided(self, now_us: int) -> int:
+        """How many listed exchanges are sent nothing for now, since they were silent or full."""
+        return sum(e.hold_until > now_us for e in self.exchanges.values())
+
     # --- the exchange list ---
 
     def _list(self, event: i.ExchangeList) -> None:
--- a/latchturn/net.py
+++ b/latchturn/net.py
@@ -22,10 +22,13 @@
 
 import trio
 
-from . import protocol, session
+from . import operations, protocol, session
 
 RECEIVE = 8 * 1024  # about 50 messages: the other connections have their turn after them
 BACKLOG = 4096  # as far as the system allows: callers come by the hundred at once
+DOOR_MOST = 16  # connections at the operators' door, where the oldest makes room
+DOOR_BACKLOG = 64
+DOOR_PATIENCE_S = 5.0  # for one visit
 ACCEPT_PAUSE_S = 0.05  # after an accept that failed for want of descriptors or memory
 RESTART_PAUSE_S = 0.1  # of a service task that raised
 
@@ -75,6 +78,7 @@
     def __init__(self) -> None:
         self.scope = trio.CancelScope()
         self.sock: trio.socket.SocketType | None = None
+        self.reply = b""  # of a visit at the door
 
 
 class Node:
@@ -89,6 +93,8 @@
         self.clock = Clock()
         self.polls = Polls()
         self._outlets: dict[int, _Outlet] = {}
+        self._visits: dict[int, _Outlet] = {}  # at the operators' door, the oldest first
+        self._visitors = 0
         self._channel = trio.CancelScope()
         self._accepted = 0
         self._wake = trio.Event()
@@ -98,18 +104,33 @@
 
     async def run(self) -> None:
         """Serve until the reducer asks to end."""
-        host, port = self.config.listen
-        with trio.socket.socket() as listener:
-            listener.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
-            await listener.bind((host, port))
-            listener.listen(BACKLOG)
+        config = self.config
+        with contextlib.ExitStack() as sockets:
+            door = None
+            if config.admin is not None:
+                door = sockets.enter_context(await self._listen(config.admin, DOOR_BACKLOG))
+            listener = sockets.enter_context(await self._listen(config.listen, BACKLOG))
             async with trio.open_nursery() as self._nursery:
                 self._nursery.start_soon(self._service, self._watch_signals)
-                config = self.config
+                if door is not None:
+                    self._nursery.start_soon(self._service, self._accept, door, self._run_visit)
                 self.tell(session.Started(config.known, config.cursor, config.channel))
-                self._nursery.start_soon(self._service, self._accept, listener)
+                self._nursery.start_soon(self._service, self._accept, listener, self._run_caller)
+                self.tell(session.Listening())
                 self._nursery.start_soon(self._service, self._keep_time)
 
+    @staticmethod
+    async def _listen(address: tuple[str, int], backlog: int) -> trio.socket.SocketType:
+        listener = trio.socket.socket()
+        try:
+            listener.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
+            await listener.bind(address)
+            listener.listen(backlog)
+        except BaseException:
+            listener.close()
+            raise
+        return listener
+
     async def _service(self, work: Callable[..., object], *args: object) -> None:
         """Run a task without which the program is of no use: it is begun anew if it raises."""
         while True:
@@ -160,6 +181,9 @@
                 self._channel.cancel()
                 self._channel = trio.CancelScope()
                 self._nursery.start_soon(self._guard, self._run_channel, effect, self._channel)
+            case session.Reply(visitor, data):
+                if visitor in self._visits:
+                    self._visits[visitor].reply = data
             case session.Log(text):
                 log(text)
             case session.Exit():
@@ -179,9 +203,35 @@
             if due is not None and due <= self.clock.now_us():
                 self.tell(session.Tick())
 
+    # --- the operators' door ---
+
+    async def _run_visit(self, sock: trio.socket.SocketType) -> None:
+        """One connection to the door: a line, its answer, and the end."""
+        self._visitors += 1
+        ident, visit = self._visitors, _Outlet()
+        if len(self._visits) >= DOOR_MOST:
+            next(iter(self._visits.values())).scope.cancel()  # guards the door against those who dawdle
+        self._visits[ident] = visit
+        try:
+            with sock, visit.scope, trio.move_on_after(DOOR_PATIENCE_S), contextlib.suppress(OSError):
+                line = b""
+                while b"\n" not in line and len(line) <= operations.MAX_LINE:
+                    data = await sock.recv(operations.MAX_LINE)
+                    if not data:
+                        break
+                    line += data
+                self.tell(session.Operation(ident, operations.parse(line.partition(b"\n")[0])))
+                while visit.reply:
+                    visit.reply = visit.reply[await sock.send(visit.reply) :]
+                sock.shutdown(trio.socket.SHUT_WR)
+        finally:
+            del self._visits[ident]
+
     # --- callers ---
 
-    async def _accept(self, listener: trio.socket.SocketType) -> None:
+    async def _accept(
+        self, listener: trio.socket.SocketType, serve: Callable[[trio.socket.SocketType], object]
+    ) -> None:
         while True:
             try:
                 sock, _ = await listener.accept()
@@ -190,10 +240,11 @@
                 self.core.counters["accepts_failed"] += 1
                 await trio.sleep(ACCEPT_PAUSE_S)
                 continue
-            self._accepted += 1
-            self._nursery.start_soon(self._guard, self._run_caller, self._accepted, sock)
+            self._nursery.start_soon(self._guard, serve, sock)
 
-    async def _run_caller(self, ident: int, sock: trio.socket.SocketType) -> None:
+    async def _run_caller(self, sock: trio.socket.SocketType) -> None:
+        self._accepted += 1
+        ident = self._accepted
         outlet = self._outlets[ident] = _Outlet()
         with sock:
             sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
@@ -320,8 +371,7 @@
         try:
             config = self._reread()
         except Exception as error:  # noqa: BLE001 - whatever is in the file
-            self.core.counters["configurations_unusable"] += 1
-            log(f"new configuration cannot be used, the old one stays: {error}")
+            self.tell(session.ConfigTurnedDown(str(error)))
             return
         for name in ("name", "listen", "seed", "settings"):
             if getattr(config, name) != getattr(self.config, name):
@@ -329,8 +379,8 @@
         self.tell(session.Reconfigured(config.known, config.channel, config.sockets))
 
     def counters_line(self) -> str:
-        """The counters as one line of JSON."""
-        return "counters " + json.dumps(dict(sorted(self.core.counters.items())))
+        """The figures and counters as one line of JSON."""
+        return "counters " + json.dumps(self.core.figures())
 
 
 class LineWriter:
--- a/latchturn/protocol.py
+++ b/latchturn/protocol.py
@@ -427,6 +427,7 @@
     cursor: int
     known: tuple[ListUpdate, ...]
     settings: str
+    admin: tuple[str, int] | None = None  # the operators' door, None if there is none
 
 
 def read_config(path: str | Path) -> Config:
@@ -446,6 +447,7 @@
             cursor=int(known["cursor"]),
             known=tuple(_known_update(command) for command in known["cmds"]),
             settings=flatten_settings(data["settings"]),
+            admin=parse_address(data["admin_addr"]) if data.get("admin_addr") else None,
         )
     except KeyError as error:
         raise ConfigError(f"{path}: {error.args[0]} is missing") from None
--- a/latchturn/session.py
+++ b/latchturn/session.py
@@ -18,6 +18,7 @@
 from enum import Enum, auto
 
 from . import interface as i
+from . import operations
 from .benchlink import REPORT_FIELDS, read_report
 from .brain import Controller
 from .protocol import (
@@ -76,6 +77,7 @@
 HOLD_RELEASE_US = SECOND // 2  # a release waits so long for a caller that has set up a call
 CALLED = re.compile(r"[0-9A-Fa-f]{16}", re.ASCII)
 NUMBERS = 1 << 16  # of exchanges, far above all that are
+READY_MOST_US = 1_500_000  # after the start; an exchange that has told nothing by then is down
 TERM_QUIET_US = 700_000  # set-ups may come so long after SIGTERM
 # SIGKILL may come as late after SIGTERM as callers wait, 3 s at most, and 0.7 s more. All calls are answered
 # before that with time to spare, and the program ends soon after.
@@ -197,6 +199,26 @@
     """A timer may be due."""
 
 
+@dataclass(slots=True, frozen=True)
+class Operation:
+    """A line at the operators' door; None if it is none of theirs. It is answered with a `Reply`."""
+
+    visitor: int
+    command: operations.Command | None
+
+
+@dataclass(slots=True, frozen=True)
+class Listening:
+    """The listener for callers serves."""
+
+
+@dataclass(slots=True, frozen=True)
+class ConfigTurnedDown:
+    """A file read on SIGHUP cannot be used."""
+
+    reason: str
+
+
 @dataclass(slots=True, frozen=True)
 class Terminate:
     """The program is to finish what it has taken, then end."""
@@ -204,7 +226,8 @@
 
 Input = (
     Started | Reconfigured | Accepted | Heard | HalfRead | Garbled | Ended | Closed | Connected
-    | ConnectFailed | Wrote | ListTold | ChannelLost | Tick | Terminate
+    | ConnectFailed | Wrote | ListTold | ChannelLost | Tick | Operation | Listening | ConfigTurnedDown
+    | Terminate
 )  # fmt: skip
 
 
@@ -240,6 +263,14 @@
     timeout_us: int  # of the connect
 
 
+@dataclass(slots=True, frozen=True)
+class Reply:
+    """Answer a visitor at the operators' door, and close."""
+
+    visitor: int
+    data: bytes
+
+
 @dataclass(slots=True, frozen=True)
 class Log:
     text: str
@@ -250,7 +281,7 @@
     pass
 
 
-Effect = Connect | Write | Close | Follow | Log | Exit
+Effect = Connect | Write | Close | Follow | Reply | Log | Exit
 
 
 # --- state ---
@@ -382,6 +413,7 @@
     broke: bool = False  # the peer ended the first link, and none has come up since
     standing: set[int] = field(default_factory=set)
     told: deque[Told] = field(default_factory=deque)  # group states lately
+    told_once: bool = False  # whether a group state has ever come
     unsent: list[tuple[int, Release]] = field(default_factory=list)  # releases that wait for a link
 
 
@@ -397,6 +429,14 @@
     TERM = auto()
 
 
+class Phase(Enum):
+    """What the program is at, as the operators are told it."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    ENDING = "ending"
+
+
 class Session:
     """The state of one session controller."""
 
@@ -412,6 +452,7 @@
         self._controller = Controller(settings, seed)
         self._random = random.Random(seed)
         self._classes = {settings_word(c.name): k for k, c in enumerate(settings.classes)}
+        self._served = dict.fromkeys(self._classes)  # every class that there has been, in their order
         self._tenants = frozenset(settings_word(name) for name in settings.tenants)
         self._now = 0
         self._effects: list[Effect] = []
@@ -427,6 +468,8 @@
         self._channel_heard_us = 0
         self._over: dict[int, Over] = {}  # ended calls
         self._unsent: list[tuple[int, Release]] = []  # releases that wait for a caller
+        self._listening = False
+        self._started_us = 0
         self._term_us = 0  # when SIGTERM came
         self._term_last_us = 0  # when all that is open then is answered
         self._answer_all = False
@@ -503,6 +546,13 @@
                 self._list_told(update)
             case ChannelLost(reason):
                 self._channel_ended(reason)
+            case Operation(visitor, command):
+                self._effects.append(Reply(visitor, self._operate(command)))
+            case Listening():
+                self._listening = True
+            case ConfigTurnedDown(reason):
+                self.counters["sighup_rejected"] += 1
+                self._log(f"new configuration cannot be used, the old one stays: {reason}")
             case Started(known, cursor, channel):
                 self._started(known, cursor)
                 self._follow(channel)
@@ -511,7 +561,7 @@
                 for event in known:
                     self._list_told(event)
                 self.sockets = sockets
-                self.counters["configurations"] += 1
+                self.counters["sighup_applied"] += 1
                 self._log(f"new configuration: command channel {channel[0]}:{channel[1]}, {sockets} sockets")
                 self._follow(channel)
             case Terminate():
@@ -598,6 +648,43 @@
             return True
         return since >= TERM_QUIET_US and not busy
 
+    # --- the operators ---
+
+    def figures(self) -> dict[str, int]:
+        """Every figure as it is now: those of the operators' table, then the other counters."""
+        names = [operations.by_class(n, c) for c in self._served for n in operations.BY_CLASS]
+        counted = ("forwards", "sighup_applied", "sighup_rejected")
+        figures = {name: self.counters[name] for name in (*names, *counted)}
+        figures["outstanding"] = len(self.calls)  # those that stand too: they have not ended
+        figures["discovered"] = len(self.exchanges)
+        figures["ejected"] = self._controller.avoided(self._now)
+        return figures | {name: n for name, n in sorted(self.counters.items()) if name not in figures}
+
+    def _count(self, name: str, class_name: str) -> None:
+        """Count the end of a set-up of a class."""
+        self.counters[operations.by_class(name, settings_word(class_name))] += 1
+
+    def _operate(self, command: operations.Command | None) -> bytes:
+        if command is operations.Command.PING:
+            return operations.answer(self.phase is Phase.SERVING, self.phase.value)
+        if command is operations.Command.INFO:
+            return operations.answer(True, self.phase.value, self.figures())
+        return operations.answer(False, "this can be asked: " + " ".join(c.value for c in operations.Command))
+
+    @property
+    def phase(self) -> Phase:
+        """What the program is at."""
+        if self._term_us:
+            return Phase.ENDING
+        return Phase.SERVING if self._is_ready() else Phase.STARTING
+
+    def _is_ready(self) -> bool:
+        """Whether calls can be taken and sent: the listener serves and all groups are told, or should be."""
+        if not self._listening:
+            return False
+        waited = self._now - self._started_us >= READY_MOST_US
+        return waited or all(e.told_once or not self._usable(e) for e in self.exchanges.values())
+
     # --- the module ---
 
     def _decide(self, event: i.Event) -> None:
@@ -761,6 +848,7 @@
         elif len(caller.owed) >= OPEN_MOST or len(self.calls) >= CALLS_MOST or self._answer_all:
             # Guards the others' calls and the memory against a flood.
             self.counters["set_ups_over_budget"] += 1
+            self._count("declined", message.class_name)
             stay_ms = self.settings.max_stay_away_us // 1000
             self._queue(caller, Release(message.call, ReleaseCause.CONGESTION, stay_away_ms=stay_ms))
         else:
@@ -791,11 +879,11 @@
         caller.owed.discard(ident)
         self._drop_timer(call.timer)
         if isinstance(message, Answer):
-            self.counters["answers"] += 1
+            self._count("succeeded", call.set_up.class_name)
             caller.trust = 2
         else:
             refused = message.cause == ReleaseCause.CONGESTION
-            self.counters["refusals" if refused else "failures"] += 1
+            self._count("declined" if refused else "aborted", call.set_up.class_name)
             self._forget(call, answered=True)
         self._queue(caller, message)
 
@@ -974,6 +1062,7 @@
     # --- exchanges ---
 
     def _started(self, known: Iterable[ListUpdate], cursor: int) -> None:
+        self._started_us = self._now
         self._set_timer(SWEEP_US, TimerKind.SWEEP)
         for update in known:
             self._list_told(update)
@@ -1152,6 +1241,7 @@
             for other in exchange.links.values():
                 if other is not link and other.up and not other.missed_us:
                     other.missed_us = self._now
+            exchange.told_once = True
             if not self._is_copy(exchange, link, message.report):
                 self._tell_report(exchange, message.report)
         elif isinstance(message, ReleaseHeard):
@@ -1271,7 +1361,6 @@
             self._end_attempt(attempt, i.Outcome.NOT_SENT)
             return None
         attempt.sent, attempt.sent_us = True, self._now
-        self.counters["set_ups_sent"] += 1
         wait_ms = max(1, (attempt.due_us - self._now) // 1000)
         old = call.set_up
         return SetUp(old.call, old.class_name, wait_ms, old.called, old.description)
@@ -1285,6 +1374,8 @@
             if isinstance(item, GiveUpDue):
                 if item.attempt.call.attempt is item.attempt:
                     self._end_attempt(item.attempt, i.Outcome.TIMED_OUT)
+            elif isinstance(item, Attempt):
+                self.counters["forwards"] += 1
             elif isinstance(item, Release):
                 stream.unheard[item.call] = (self._now, item)
         self._ready[ident] = stream
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -14,6 +14,7 @@
 
 from latchturn import Controller
 from latchturn import interface as i
+from latchturn import operations as o
 from latchturn import protocol as p
 from latchturn import session as s
 from latchturn.benchlink import read_settings
@@ -180,9 +181,11 @@
         self.connects: list[s.Connect] = []
         self.follows: list[s.Follow] = []
         self.closed: list[int] = []
+        self.replies: list[str] = []
         self.ended = False
         update = p.ListUpdate(1, i.ListKind.FULL, tuple(listed(k) for k in range(far + 1)))
         self.do(s.Started((update,), 1, ("127.0.0.1", 9)))
+        self.do(s.Listening())
         self.link = {k: self.connects[k - 1].stream for k in range(1, far + 1)}
         self.second: dict[int, int] = {}  # the other link to each exchange
         for k, stream in self.link.items():
@@ -207,6 +210,8 @@
                 self.follows.append(effect)
             elif isinstance(effect, s.Close):
                 self.closed.append(effect.stream)
+            elif isinstance(effect, s.Reply):
+                self.replies.append(effect.data.decode())
             elif isinstance(effect, s.Exit):
                 self.ended = True
         return self.written[begin:]
@@ -214,6 +219,14 @@
     def hear(self, stream: int, message: p.Message) -> list[tuple[int, p.Message]]:
         return self.do(s.Heard(stream, message))
 
+    def ask(self, command: o.Command | None) -> str:
+        """What the operators' door answers to a call."""
+        self.do(s.Operation(1, command))
+        return self.replies[-1]
+
+    def figure(self, name: str) -> int:
+        return self.session.figures()[name]
+
     def pass_time(self, us: int) -> list[tuple[int, p.Message]]:
         """Let time pass with every timer on the way."""
         begin, end = len(self.written), self.now + us
@@ -259,6 +272,8 @@
         self.channel = socket.create_server(("127.0.0.1", 0))
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.port = free.getsockname()[1]
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.door = free.getsockname()[1]
         for listener in (*self.listeners, self.channel):
             listener.settimeout(10)
         endpoints = [
@@ -271,7 +286,8 @@
         ]  # fmt: skip
         nodes = {"index": 1, "snapshot": True, "endpoints": endpoints}
         self.config = {
-            "name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "8c1f30d27a5be964",
+            "name": "n0", "listen": f"127.0.0.1:{self.port}",
+            "admin_addr": f"127.0.0.1:{self.door}", "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "channel": f"127.0.0.1:{self.channel.getsockname()[1]}",
             "known": {"cursor": 1, "cmds": [{"cursor": 1, "nodes": nodes}]}, "settings": NESTED,
@@ -309,6 +325,12 @@
     def caller(self) -> Peer:
         return Peer(socket.create_connection(("127.0.0.1", self.port), 10))
 
+    def ask(self, line: str) -> list[str]:
+        """The lines that the operators' door answers to a line."""
+        with socket.create_connection(("127.0.0.1", self.door), 10) as sock:
+            sock.sendall(line.encode() + b"\n")
+            return sock.makefile().read().splitlines()
+
     def tell_list(self, number: int, exchange: int, state: int, started_ms: int = 0) -> None:
         """One event on the command channel."""
         port = self.listeners[exchange].getsockname()[1]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -186,7 +186,7 @@
             program.links[1].send(p.Answer(1, b"yes"))
             self.assertIsInstance(caller.next(), p.Answer)
             self.assertEqual(program.process.wait(10), 0)
-            self.assertIn('"answers": 1', program.process.stderr.read())
+            self.assertIn('"succeeded.premium_quote": 1', program.process.stderr.read())
 
     def test_sighup_moves_to_the_new_channel_at_once_and_calls_go_on(self) -> None:
         # The default action of SIGHUP is to end the program.
