Drain on LAMEDUCK and serve again on REJOIN

Seen: 'told to drain, and 4 s later it still said that it takes work', with PING already at no. Checked by a trace of callers' connections: the front asks by a test on a connection of its own, every 0.1 s; tests now fail while draining. Ruled out: releases sent on the wrong connection (none was written at all). Reads go without trio's extra round, in which bytes are neither unread nor known.

--- a/latchturn/net.py
+++ b/latchturn/net.py
@@ -8,12 +8,15 @@
 from __future__ import annotations
 
 import contextlib
+import fcntl
 import json
 import math
 import os
 import queue
 import signal
+import socket
 import sys
+import termios
 import threading
 import time
 import traceback
@@ -72,6 +75,22 @@
         return (self._read_ns() - self._since) // 1000
 
 
+async def _receive(sock: trio.socket.SocketType) -> bytes:
+    """What has come, as soon as something has. Guards `unread`: trio's own `recv` goes through the loop
+    once more with the bytes in hand, when they are neither in the socket nor known to the reducer."""
+    while True:
+        await trio.lowlevel.wait_readable(sock)
+        with contextlib.suppress(BlockingIOError):
+            return os.read(sock.fileno(), RECEIVE)
+
+
+def unread(sock: trio.socket.SocketType | socket.socket) -> int:
+    """How many bytes have come and are not read yet."""
+    count = bytearray(4)
+    fcntl.ioctl(sock.fileno(), termios.FIONREAD, count)
+    return int.from_bytes(count, sys.byteorder)
+
+
 class _Outlet:
     """The socket of one stream, and the means to end its task."""
 
@@ -177,6 +196,10 @@
             case session.Close(stream):
                 if stream in self._outlets:
                     self._outlets[stream].scope.cancel()
+            case session.CloseIdle(stream):
+                outlet_ = self._outlets.get(stream)
+                if outlet_ is not None and outlet_.sock is not None and not unread(outlet_.sock):
+                    outlet_.scope.cancel()
             case session.Follow():
                 self._channel.cancel()
                 self._channel = trio.CancelScope()
@@ -294,7 +317,7 @@
         decoder = protocol.message_decoder()
         try:
             half = False
-            while data := await sock.recv(RECEIVE):
+            while data := await _receive(sock):
                 for message in decoder.feed(data):
                     self.tell(session.Heard(ident, message, self.polls.waited_us()))
                 if decoder.half_read != half:
--- a/latchturn/session.py
+++ b/latchturn/session.py
@@ -77,7 +77,15 @@
 HOLD_RELEASE_US = SECOND // 2  # a release waits so long for a caller that has set up a call
 CALLED = re.compile(r"[0-9A-Fa-f]{16}", re.ASCII)
 NUMBERS = 1 << 16  # of exchanges, far above all that are
-READY_MOST_US = 1_500_000  # after the start; an exchange that has told nothing by then is down
+READY_MOST_US = SECOND  # after the start; an exchange that has told nothing by then will not soon
+# A drain. The front hears of it up to 0.1 s late and sends new connections for 0.2 s more. At 4 s no
+# connection may be left that is idle or has had a set-up in the last 2 s.
+DRAIN_QUIET_US = 400_000  # no connection is closed before; a new one has as long for its first set-up
+DRAIN_REFUSE_US = 1_500_000  # from then on new set-ups are refused
+DRAIN_LAST_US = 3_500_000  # what is still half sent then is closed, and what has had a set-up lately
+DRAIN_ASKED_US = 2_500_000
+DRAIN_STEP_US = 50_000
+DRAIN_AWAY_MS = 100  # a caller that is refused finds another session controller at once
 TERM_QUIET_US = 700_000  # set-ups may come so long after SIGTERM
 # SIGKILL may come as late after SIGTERM as callers wait, 3 s at most, and 0.7 s more. All calls are answered
 # before that with time to spare, and the program ends soon after.
@@ -254,6 +262,13 @@
     stream: int
 
 
+@dataclass(slots=True, frozen=True)
+class CloseIdle:
+    """Close if nothing lies unread on the stream; until `Closed` it is as it was."""
+
+    stream: int
+
+
 @dataclass(slots=True, frozen=True)
 class Follow:
     """Connect to the command channel in place of any connection to it; ask for what follows an event."""
@@ -281,7 +296,7 @@
     pass
 
 
-Effect = Connect | Write | Close | Follow | Reply | Log | Exit
+Effect = Connect | Write | Close | CloseIdle | Follow | Reply | Log | Exit
 
 
 # --- state ---
@@ -368,6 +383,7 @@
     finishing: bool = False  # nothing more is taken; it is closed once all answers are written
     accepted_us: int = 0
     active_us: int = 0
+    asked_us: int = 0  # when its last set-up came
     told: bool = False  # whether it has been sent anything
     trust: int = 0  # 1 once it has sent a set-up that can be used, 2 once a call of its has stood
     faults: int = 0  # messages of no use lately
@@ -424,6 +440,7 @@
     GIVE_UP = auto()  # its bytes should have left
     RECONNECT = auto()  # to an exchange
     HALF_READ = auto()  # a link's message should be whole
+    DRAIN = auto()  # idle connections are to be closed
     CHANNEL = auto()  # the command channel is to be asked again
     SWEEP = auto()
     TERM = auto()
@@ -434,6 +451,7 @@
 
     STARTING = "starting"
     SERVING = "serving"
+    DRAINING = "draining"
     ENDING = "ending"
 
 
@@ -470,6 +488,8 @@
         self._unsent: list[tuple[int, Release]] = []  # releases that wait for a caller
         self._listening = False
         self._started_us = 0
+        self._drain_us = 0  # since when it drains, else 0
+        self._drains = 0  # how often it has begun to
         self._term_us = 0  # when SIGTERM came
         self._term_last_us = 0  # when all that is open then is answered
         self._answer_all = False
@@ -633,6 +653,8 @@
             self._answer_all = True
             for call in [c for c in self.calls.values() if c.stands_at is None]:
                 self._fail(call)
+        elif kind is TimerKind.DRAIN and what == self._drains:
+            self._send_away()
         elif kind is TimerKind.SWEEP:
             self._sweep()
 
@@ -669,21 +691,54 @@
             return operations.answer(self.phase is Phase.SERVING, self.phase.value)
         if command is operations.Command.INFO:
             return operations.answer(True, self.phase.value, self.figures())
+        if command is not None:
+            if self._term_us:
+                return operations.answer(False, self.phase.value)
+            if command is operations.Command.REJOIN:
+                self._drain_us = 0
+            elif not self._drain_us:
+                self._drain()
+            return operations.answer(True, self.phase.value)
         return operations.answer(False, "this can be asked: " + " ".join(c.value for c in operations.Command))
 
     @property
     def phase(self) -> Phase:
-        """What the program is at."""
+        """What the program is at: PING at the door and the tests of callers' connections follow it."""
         if self._term_us:
             return Phase.ENDING
+        if self._drain_us:
+            return Phase.DRAINING
         return Phase.SERVING if self._is_ready() else Phase.STARTING
 
     def _is_ready(self) -> bool:
         """Whether calls can be taken and sent: the listener serves and all groups are told, or should be."""
         if not self._listening:
             return False
-        waited = self._now - self._started_us >= READY_MOST_US
-        return waited or all(e.told_once or not self._usable(e) for e in self.exchanges.values())
+        if self._now - self._started_us >= READY_MOST_US:
+            return True
+        return all(e.told_once or e.failures or not self._usable(e) for e in self.exchanges.values())
+
+    def _drain(self) -> None:
+        """Send all callers away, each once nothing of its is open."""
+        self._drain_us = self._now
+        self._drains += 1
+        self._log(f"draining: {len(self.callers)} connections, {len(self.calls)} calls")
+        self._set_timer(DRAIN_QUIET_US, TimerKind.DRAIN, self._drains)
+
+    def _send_away(self) -> None:
+        """Guards the calls that cross a close: a connection is closed only with nothing open or unread."""
+        if not self._drain_us:
+            return
+        self._set_timer(DRAIN_STEP_US, TimerKind.DRAIN, self._drains)
+        patient = self._now - self._drain_us < DRAIN_LAST_US
+        # The ends of calls that stand are owed within 1 s, and no other connection may come for them. One with
+        # a set-up of the last 2 s goes all the same: of two things owed at 4 s that is the one in our hands.
+        needed = {call.caller for call in self.calls.values()}
+        for caller in self.callers.values():
+            speaks = patient and (caller.half_us or self._now - caller.accepted_us < DRAIN_QUIET_US)
+            needs = caller.ident in needed and (patient or self._now - caller.asked_us > DRAIN_ASKED_US)
+            if caller.idle and not caller.finishing and not speaks and not needs:
+                self._effects.append(CloseIdle(caller.ident))
 
     # --- the module ---
 
@@ -826,6 +881,7 @@
 
     def _asked(self, caller: Caller, message: SetUp | Unusable, waited_us: int) -> None:
         """A set-up from a caller."""
+        caller.asked_us = self._now
         self.counters["set_ups"] += 1
         known = self.calls.get(message.call)
         if known is not None or (message.call in self._over and self._over[message.call].answered):
@@ -851,6 +907,10 @@
             self._count("declined", message.class_name)
             stay_ms = self.settings.max_stay_away_us // 1000
             self._queue(caller, Release(message.call, ReleaseCause.CONGESTION, stay_away_ms=stay_ms))
+        elif self._drain_us and self._now - self._drain_us >= DRAIN_REFUSE_US:
+            # Guards the drain's end against a connection that is never idle.
+            self._count("declined", message.class_name)
+            self._queue(caller, Release(message.call, ReleaseCause.CONGESTION, stay_away_ms=DRAIN_AWAY_MS))
         else:
             self._offer(caller, message, waited_us)
 
@@ -983,7 +1043,9 @@
         elif isinstance(message, ReleaseHeard) and caller.unheard.pop(message.call, None) is not None:
             self.counters["releases_heard"] += 1
         elif isinstance(message, Test):
-            self._queue(caller, TestResult(message.call, True))
+            # The front asks here whether to send more. Who ends may have a successor at the address.
+            ready = self.phase in (Phase.SERVING, Phase.ENDING)
+            self._queue(caller, TestResult(message.call, ready))
             self._fault(caller, "tests")
         else:
             self.counters["messages_passed_over"] += 1
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -210,6 +210,9 @@
                 self.follows.append(effect)
             elif isinstance(effect, s.Close):
                 self.closed.append(effect.stream)
+            elif isinstance(effect, s.CloseIdle):
+                self.do(s.Closed(effect.stream))
+                self.closed.append(effect.stream)
             elif isinstance(effect, s.Reply):
                 self.replies.append(effect.data.decode())
             elif isinstance(effect, s.Exit):
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -8,8 +8,9 @@
 from latchturn import operations as o
 from latchturn import protocol as p
 from latchturn import session as s
+from latchturn.net import unread
 
-from .helpers import Desk, Program, set_up
+from .helpers import SECOND, Desk, Program, set_up
 
 C = o.Command
 
@@ -80,10 +81,111 @@
         self.assertIs(session.phase, s.Phase.STARTING)  # nothing listens
         desk.session.exchanges[102].told_once = False
         self.assertEqual(desk.ask(C.PING), "ERR starting\n")
+        self.assertEqual(desk.hear(1, p.Test(9)), [(1, p.TestResult(9, False))])
         desk.pass_time(s.READY_MOST_US)
         self.assertEqual(desk.ask(C.PING), "OK serving\n")
 
 
+class Drain(unittest.TestCase):
+    def setUp(self) -> None:
+        self.desk = Desk()
+        for stream in (2, 3):
+            self.desk.do(s.Accepted(stream))
+        self.desk.pass_time(SECOND)
+
+    def test_idle_connections_close_once_new_ones_have_ceased_and_busy_ones_when_answered(self) -> None:
+        desk = self.desk
+        desk.hear(2, set_up(5))
+        self.assertEqual(desk.ask(C.LAMEDUCK), "OK draining\n")
+        self.assertEqual(desk.ask(C.PING), "ERR draining\n")
+        self.assertEqual(desk.hear(1, p.Test(9)), [(1, p.TestResult(9, False))])
+        desk.do(s.Accepted(4))
+        desk.pass_time(s.DRAIN_QUIET_US - 1)
+        self.assertEqual(desk.closed, [])
+        desk.do(s.Accepted(6))
+        desk.hear(1, set_up(6))  # still taken
+        self.assertEqual(len(desk.session.calls), 2)
+        desk.pass_time(s.DRAIN_STEP_US)
+        self.assertEqual(sorted(desk.closed), [3, 4])  # 6 may be about to speak
+        desk.hear(desk.link[1], p.Answer(5, b"yes"))
+        desk.pass_time(s.DRAIN_STEP_US)
+        self.assertEqual(sorted(desk.closed), [3, 4])  # its end is owed to its caller, who has no other way
+        desk.hear(desk.link[1], p.Release(5, p.ReleaseCause.NORMAL))
+        desk.pass_time(s.DRAIN_STEP_US)
+        self.assertEqual(sorted(desk.closed), [2, 3, 4])
+
+    def test_where_a_call_stands_and_set_ups_still_come_the_connection_goes_before_4_s(self) -> None:
+        for asked_us, goes in ((SECOND, False), (2 * SECOND, True)):
+            desk = Desk()
+            desk.stand(5)
+            desk.ask(C.LAMEDUCK)
+            desk.pass_time(asked_us)
+            desk.hear(1, set_up(6, to=9))
+            desk.pass_time(SECOND * 39 // 10 - asked_us)
+            self.assertEqual(desk.closed, [1] if goes else [])
+
+    def test_a_connection_that_is_never_idle_is_so_before_2_s(self) -> None:
+        desk = self.desk
+        desk.hear(1, set_up(5))
+        desk.ask(C.LAMEDUCK)
+        desk.pass_time(s.DRAIN_REFUSE_US)
+        before = desk.figure("declined.premium_quote")
+        written = desk.hear(1, set_up(6))
+        refusal = p.Release(6, p.ReleaseCause.CONGESTION, stay_away_ms=s.DRAIN_AWAY_MS)
+        self.assertEqual(written, [(1, refusal)])
+        self.assertEqual(desk.figure("declined.premium_quote"), before + 1)
+
+    def test_what_stays_half_sent_is_closed_before_4_s(self) -> None:
+        desk = self.desk
+        desk.ask(C.LAMEDUCK)
+        desk.pass_time(SECOND * 19 // 10)
+        desk.do(s.Accepted(7))
+        desk.do(s.HalfRead(7, True))
+        desk.pass_time(SECOND)
+        self.assertNotIn(7, desk.closed)
+        desk.pass_time(SECOND * 7 // 10)
+        self.assertIn(7, desk.closed)
+
+    def test_rejoin_ends_a_drain_and_sigterm_lets_none_begin_or_end(self) -> None:
+        desk = self.desk
+        desk.ask(C.LAMEDUCK)
+        self.assertEqual(desk.ask(C.REJOIN), "OK serving\n")
+        self.assertEqual(desk.hear(1, p.Test(9)), [(1, p.TestResult(9, True))])
+        desk.pass_time(SECOND)
+        self.assertEqual(desk.closed, [])
+        desk.ask(C.LAMEDUCK)
+        desk.do(s.Terminate())
+        for command in (C.PING, C.REJOIN, C.LAMEDUCK):
+            self.assertEqual(desk.ask(command), "ERR ending\n")
+
+    def test_on_sockets(self) -> None:
+        with Program() as program:
+            idle, busy = program.caller(), program.caller()
+            busy.send(set_up(1))
+            self.assertEqual(program.links[1].next().call, 1)
+            while program.ask("PING") != ["OK serving"]:
+                pass
+            self.assertEqual(program.ask("LAMEDUCK"), ["OK draining"])
+            self.assertEqual(program.ask("PING"), ["ERR draining"])
+            self.assertIsNone(idle.next())
+            program.links[1].send(p.Answer(1, b"yes"))
+            self.assertEqual(busy.next(), p.Answer(1, b"yes"))
+            program.links[1].send(p.Release(1, p.ReleaseCause.NORMAL))
+            self.assertEqual(busy.next(), p.Release(1, p.ReleaseCause.NORMAL))
+            self.assertIsNone(busy.next())
+            self.assertEqual(program.ask("REJOIN"), ["OK serving"])
+            again = program.caller()
+            again.send(p.Test(2))
+            self.assertEqual(again.next(), p.TestResult(2, True))
+
+    def test_what_lies_unread_keeps_its_connection_open(self) -> None:
+        ours, theirs = socket.socketpair()
+        with ours, theirs:
+            self.assertEqual(unread(ours), 0)
+            theirs.sendall(b"abc")
+            self.assertEqual(unread(ours), 3)
+
+
 class Door(unittest.TestCase):
     def test_every_line_is_answered_beside_those_who_dawdle(self) -> None:
         with Program() as program:
