--- a/latchturn/session.py
+++ b/latchturn/session.py
@@ -83,7 +83,7 @@
 DRAIN_QUIET_US = 400_000  # no connection is closed before; a new one has as long for its first set-up
 DRAIN_REFUSE_US = 1_500_000  # from then on new set-ups are refused
 DRAIN_LAST_US = 3_500_000  # what is still half sent then is closed, and what has had a set-up lately
-DRAIN_ASKED_US = 2_500_000
+DRAIN_ASKED_US = 1_900_000  # a set-up that came later is too late for 4 s
 DRAIN_STEP_US = 50_000
 DRAIN_AWAY_MS = 100  # a caller that is refused finds another session controller at once
 TERM_QUIET_US = 700_000  # set-ups may come so long after SIGTERM
@@ -732,11 +732,11 @@
         self._set_timer(DRAIN_STEP_US, TimerKind.DRAIN, self._drains)
         patient = self._now - self._drain_us < DRAIN_LAST_US
         # The ends of calls that stand are owed within 1 s, and no other connection may come for them. One with
-        # a set-up of the last 2 s goes all the same: of two things owed at 4 s that is the one in our hands.
+        # late set-ups goes all the same: of two things owed at 4 s that is the one in our hands.
         needed = {call.caller for call in self.calls.values()}
         for caller in self.callers.values():
             speaks = patient and (caller.half_us or self._now - caller.accepted_us < DRAIN_QUIET_US)
-            needs = caller.ident in needed and (patient or self._now - caller.asked_us > DRAIN_ASKED_US)
+            needs = caller.ident in needed and (patient or caller.asked_us < self._drain_us + DRAIN_ASKED_US)
             if caller.idle and not caller.finishing and not speaks and not needs:
                 self._effects.append(CloseIdle(caller.ident))
 
