--- /dev/null
+++ b/latchturn/handover.py
@@ -0,0 +1,116 @@
+"""The socket in $TMPDIR through which a process that serves hands its listener to its successor.
+
+Owns the socket's name, what may lie at it, and the words that pass: the listener itself, how many
+descriptors each side holds, and that the successor serves. It must decide nothing, and nothing that
+lies in $TMPDIR or comes over the socket may keep the program from starting.
+"""
+
+from __future__ import annotations
+
+import array
+import contextlib
+import os
+import socket
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import trio
+
+PATIENCE_S = 0.3  # with a process that may be hung, or something else
+SERVING = "serving"
+HELD = "held"
+MOST_WORDS = 4096  # bytes
+
+
+def path_for(folder: str | None, address: tuple[str, int]) -> Path | None:
+    """Where the process that serves at an address is found, None without a folder."""
+    return Path(folder) / f"latchturn-{address[0]}-{address[1]}.sock" if folder else None
+
+
+def descriptors() -> int:
+    """How many this process holds."""
+    return len(os.listdir("/proc/self/fd"))
+
+
+def say(sock: trio.socket.SocketType, *words: object) -> None:
+    """Tell the other process; if it does not listen there is nobody to tell."""
+    with contextlib.suppress(OSError):
+        os.write(sock.fileno(), " ".join(map(str, words)).encode() + b"\n")
+
+
+async def hear(sock: trio.socket.SocketType) -> AsyncIterator[list[str]]:
+    """The other process's words, line by line, until it ends or says what cannot be."""
+    unread = b""
+    with contextlib.suppress(OSError):
+        while len(unread) < MOST_WORDS and (data := await sock.recv(MOST_WORDS)):
+            *lines, unread = (unread + data).split(b"\n")
+            for line in lines:
+                yield line.decode("ascii", "replace").split()
+
+
+async def give(sock: trio.socket.SocketType, listener: trio.socket.SocketType) -> None:
+    """Hand the listener over."""
+    handle = array.array("i", [listener.fileno()])
+    rights = (socket.SOL_SOCKET, socket.SCM_RIGHTS, handle)
+    await sock.sendmsg([f"{HELD} {descriptors()}\n".encode()], [rights])
+
+
+async def inherit(
+    path: Path | None, address: tuple[str, int]
+) -> tuple[trio.socket.SocketType, trio.socket.SocketType] | None:
+    """The listener of the process that serves at the address, and the connection to it; None without one."""
+    if path is None:
+        return None
+    sock = trio.socket.socket(socket.AF_UNIX)
+    handles = array.array("i")
+    inherited = None
+    try:
+        with trio.fail_after(PATIENCE_S):
+            await sock.connect(str(path))
+            _, extra, _, _ = await sock.recvmsg(MOST_WORDS, socket.CMSG_SPACE(handles.itemsize))
+        for level, kind, data in extra:
+            if (level, kind) == (socket.SOL_SOCKET, socket.SCM_RIGHTS):
+                handles.frombytes(data[: len(data) - len(data) % handles.itemsize])
+        if len(handles) == 1:
+            listener = socket.socket(fileno=os.dup(handles[0]))
+            listens = listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+            if listens and listener.getsockname() == address:
+                listener.setblocking(False)
+                inherited = trio.socket.from_stdlib_socket(listener)
+                return inherited, sock
+            listener.close()
+    except (OSError, ValueError, trio.TooSlowError):
+        pass  # no file, no socket, a dead or a silent peer: this process starts for itself
+    finally:
+        for handle in handles:
+            os.close(handle)
+        if inherited is None:
+            sock.close()
+    return None
+
+
+@contextlib.asynccontextmanager
+async def published(path: Path | None) -> AsyncIterator[trio.socket.SocketType | None]:
+    """A socket for successors at the path, in place of whatever lies there; None if that cannot be."""
+    if path is None:
+        yield None
+        return
+    ours = path.with_suffix(f".{os.getpid()}")
+    with trio.socket.socket(socket.AF_UNIX) as sock:
+        try:
+            ours.unlink(missing_ok=True)
+            await sock.bind(str(ours))
+            sock.listen(8)
+            made = ours.stat().st_ino
+            ours.replace(path)
+        except OSError:
+            with contextlib.suppress(OSError):
+                ours.unlink(missing_ok=True)
+            yield None
+            return
+        try:
+            yield sock
+        finally:
+            with contextlib.suppress(OSError):  # it may be a successor's by now
+                if path.stat().st_ino == made:
+                    path.unlink()
--- a/latchturn/net.py
+++ b/latchturn/net.py
@@ -25,13 +25,14 @@
 
 import trio
 
-from . import operations, protocol, session
+from . import handover, operations, protocol, session
 
 RECEIVE = 8 * 1024  # about 50 messages: the other connections have their turn after them
 BACKLOG = 4096  # as far as the system allows: callers come by the hundred at once
 DOOR_MOST = 16  # connections at the operators' door, where the oldest makes room
 DOOR_BACKLOG = 64
 DOOR_PATIENCE_S = 5.0  # for one visit
+HELD_PAUSE_S = 0.25  # between two words of descriptors to the other process
 ACCEPT_PAUSE_S = 0.05  # after an accept that failed for want of descriptors or memory
 RESTART_PAUSE_S = 0.1  # of a service task that raised
 
@@ -116,6 +117,10 @@
         self._visitors = 0
         self._channel = trio.CancelScope()
         self._accepted = 0
+        self._path = handover.path_for(os.environ.get("TMPDIR"), config.listen)
+        self._listener: trio.socket.SocketType
+        self._predecessor: trio.socket.SocketType | None = None  # the connection to it
+        self._front = trio.CancelScope()  # of what takes callers, and successors
         self._wake = trio.Event()
         self._wake_us: int | None = None
         self._inputs: deque[session.Input] = deque()
@@ -128,21 +133,33 @@
             door = None
             if config.admin is not None:
                 door = sockets.enter_context(await self._listen(config.admin, DOOR_BACKLOG))
-            listener = sockets.enter_context(await self._listen(config.listen, BACKLOG))
+            inherited = await handover.inherit(self._path, config.listen)
+            if inherited is not None:
+                self._listener, self._predecessor = inherited
+            else:
+                # With SO_REUSEPORT, since one that serves here may not have been found.
+                self._listener = await self._listen(config.listen, BACKLOG, reuse_port=True)
+            sockets.enter_context(self._listener)
             async with trio.open_nursery() as self._nursery:
                 self._nursery.start_soon(self._service, self._watch_signals)
                 if door is not None:
                     self._nursery.start_soon(self._service, self._accept, door, self._run_visit)
-                self.tell(session.Started(config.known, config.cursor, config.channel))
-                self._nursery.start_soon(self._service, self._accept, listener, self._run_caller)
+                if self._predecessor is not None:
+                    self._nursery.start_soon(self._guard, self._talk, self._predecessor)
+                known = config.known
+                self.tell(session.Started(known, config.cursor, config.channel, inherited is not None))
                 self.tell(session.Listening())
                 self._nursery.start_soon(self._service, self._keep_time)
 
     @staticmethod
-    async def _listen(address: tuple[str, int], backlog: int) -> trio.socket.SocketType:
+    async def _listen(
+        address: tuple[str, int], backlog: int, reuse_port: bool = False
+    ) -> trio.socket.SocketType:
         listener = trio.socket.socket()
         try:
             listener.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
+            if reuse_port:
+                listener.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEPORT, 1)
             await listener.bind(address)
             listener.listen(backlog)
         except BaseException:
@@ -204,6 +221,13 @@
                 self._channel.cancel()
                 self._channel = trio.CancelScope()
                 self._nursery.start_soon(self._guard, self._run_channel, effect, self._channel)
+            case session.TakeCallers(on):
+                self._front.cancel()
+                if on:
+                    if self._predecessor is not None:
+                        handover.say(self._predecessor, handover.SERVING)
+                    self._front = trio.CancelScope()
+                    self._nursery.start_soon(self._guard, self._run_front, self._front)
             case session.Reply(visitor, data):
                 if visitor in self._visits:
                     self._visits[visitor].reply = data
@@ -250,6 +274,45 @@
         finally:
             del self._visits[ident]
 
+    # --- the process before this one, and the one after it ---
+
+    async def _run_front(self, scope: trio.CancelScope) -> None:
+        """Take callers, and a successor, for as long as this process is the one that serves."""
+        with scope:
+            async with handover.published(self._path) as successors, trio.open_nursery() as nursery:
+                nursery.start_soon(self._service, self._accept, self._listener, self._run_caller)
+                if successors is not None:
+                    nursery.start_soon(self._service, self._accept, successors, self._hand_over)
+
+    async def _hand_over(self, sock: trio.socket.SocketType) -> None:
+        with sock:
+            await handover.give(sock, self._listener)
+            await self._talk(sock)
+
+    async def _talk(self, sock: trio.socket.SocketType) -> None:
+        """Exchange words with the other process until it ends."""
+        serves = False
+        with sock:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._tell_held, sock)
+                async for words in handover.hear(sock):
+                    match words:
+                        case [handover.HELD, count] if count.isdecimal():
+                            self.tell(session.OtherHolds(int(count)))
+                        case [handover.SERVING]:
+                            serves = True
+                            self.tell(session.Succeeded(True))
+                nursery.cancel_scope.cancel()
+        self.tell(session.OtherHolds(0))
+        if serves:
+            self.tell(session.Succeeded(False))
+
+    @staticmethod
+    async def _tell_held(sock: trio.socket.SocketType) -> None:
+        while True:
+            handover.say(sock, handover.HELD, handover.descriptors())
+            await trio.sleep(HELD_PAUSE_S)
+
     # --- callers ---
 
     async def _accept(
--- a/latchturn/session.py
+++ b/latchturn/session.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 import random
 import re
 import traceback
@@ -86,6 +87,10 @@
 DRAIN_ASKED_US = 1_900_000  # a set-up that came later is too late for 4 s
 DRAIN_STEP_US = 50_000
 DRAIN_AWAY_MS = 100  # a caller that is refused finds another session controller at once
+# Of the time from SIGTERM until all is answered, where there is a successor: connections on which calls stand
+# are closed too after the first share, and new set-ups are refused after the second.
+SUCCEEDED_LAST = 0.5
+SUCCEEDED_REFUSE = 0.7
 TERM_QUIET_US = 700_000  # set-ups may come so long after SIGTERM
 # SIGKILL may come as late after SIGTERM as callers wait, 3 s at most, and 0.7 s more. All calls are answered
 # before that with time to spare, and the program ends soon after.
@@ -121,6 +126,7 @@
     known: tuple[ListUpdate, ...]
     cursor: int  # the number of the last event in it
     channel: tuple[str, int] = ("", 0)  # address of the command channel
+    replaces: bool = False  # whether another process serves at the address until this one does
 
 
 @dataclass(slots=True, frozen=True)
@@ -220,6 +226,20 @@
     """The listener for callers serves."""
 
 
+@dataclass(slots=True, frozen=True)
+class Succeeded:
+    """Whether a successor serves at the address; it was one that did, if not."""
+
+    serves: bool
+
+
+@dataclass(slots=True, frozen=True)
+class OtherHolds:
+    """How many descriptors the process before or after this one holds."""
+
+    descriptors: int
+
+
 @dataclass(slots=True, frozen=True)
 class ConfigTurnedDown:
     """A file read on SIGHUP cannot be used."""
@@ -235,7 +255,7 @@
 Input = (
     Started | Reconfigured | Accepted | Heard | HalfRead | Garbled | Ended | Closed | Connected
     | ConnectFailed | Wrote | ListTold | ChannelLost | Tick | Operation | Listening | ConfigTurnedDown
-    | Terminate
+    | Succeeded | OtherHolds | Terminate
 )  # fmt: skip
 
 
@@ -278,6 +298,13 @@
     timeout_us: int  # of the connect
 
 
+@dataclass(slots=True, frozen=True)
+class TakeCallers:
+    """Accept connections from now on, as the one process at the address, or no more."""
+
+    on: bool
+
+
 @dataclass(slots=True, frozen=True)
 class Reply:
     """Answer a visitor at the operators' door, and close."""
@@ -296,7 +323,7 @@
     pass
 
 
-Effect = Connect | Write | Close | CloseIdle | Follow | Reply | Log | Exit
+Effect = Connect | Write | Close | CloseIdle | Follow | TakeCallers | Reply | Log | Exit
 
 
 # --- state ---
@@ -440,6 +467,7 @@
     GIVE_UP = auto()  # its bytes should have left
     RECONNECT = auto()  # to an exchange
     HALF_READ = auto()  # a link's message should be whole
+    READY = auto()  # what is not told by now is not waited for
     DRAIN = auto()  # idle connections are to be closed
     CHANNEL = auto()  # the command channel is to be asked again
     SWEEP = auto()
@@ -487,9 +515,14 @@
         self._over: dict[int, Over] = {}  # ended calls
         self._unsent: list[tuple[int, Release]] = []  # releases that wait for a caller
         self._listening = False
+        self._replaces = False  # another process serves until this one is ready
+        self._succeeded = False  # a successor serves
+        self._other_holds = 0  # descriptors, in the process before or after this one
         self._started_us = 0
         self._drain_us = 0  # since when it drains, else 0
         self._drains = 0  # how often it has begun to
+        self._refuse_us = math.inf  # from then on new set-ups are refused
+        self._last_us = math.inf  # from then on less is waited for
         self._term_us = 0  # when SIGTERM came
         self._term_last_us = 0  # when all that is open then is answered
         self._answer_all = False
@@ -504,6 +537,10 @@
         self._guarded(lambda: self._take(happened), call)
         self._run_timers()
         self._settle()
+        if self._replaces and self._is_ready():
+            self._replaces = False
+            self._log("ready: this process takes over")
+            self._effects.append(TakeCallers(True))
         if self._term_us and self._finished():
             self._effects.append(Exit())
         return self._effects
@@ -570,10 +607,17 @@
                 self._effects.append(Reply(visitor, self._operate(command)))
             case Listening():
                 self._listening = True
+                if not self._replaces:
+                    self._effects.append(TakeCallers(True))
+            case OtherHolds(descriptors):
+                self._other_holds = descriptors
+            case Succeeded(serves):
+                self._hand_over(serves)
             case ConfigTurnedDown(reason):
                 self.counters["sighup_rejected"] += 1
                 self._log(f"new configuration cannot be used, the old one stays: {reason}")
-            case Started(known, cursor, channel):
+            case Started(known, cursor, channel, replaces):
+                self._replaces = replaces
                 self._started(known, cursor)
                 self._follow(channel)
             case Reconfigured(known, channel, sockets):
@@ -587,12 +631,14 @@
             case Terminate():
                 if not self._term_us:
                     self._term_us = self._now
-                    longest = max(c.give_up_us for c in self.settings.classes)
+                    open_ = [c.deadline_us - self._now for c in self.calls.values() if c.stands_at is None]
+                    longest = max([c.give_up_us for c in self.settings.classes] + open_)
                     last = min(longest, TERM_WAIT_MOST_US) + TERM_QUIET_US - TERM_SPARE_US
                     self._term_last_us = self._now + last
                     self._set_timer(TERM_QUIET_US, TimerKind.TERM)
                     self._set_timer(last, TimerKind.TERM)
                     self._set_timer(last + TERM_FLUSH_US, TimerKind.TERM)
+                    self._leave_by_term()
 
     def _settle(self) -> None:
         """Let the module answer all that came up, then write."""
@@ -668,6 +714,8 @@
         busy = busy or any(k.up and (k.outbox or k.in_flight) for k in self.links.values())
         if self._now >= self._term_last_us + TERM_FLUSH_US:
             return True
+        if self._succeeded:
+            return not self.callers and not busy
         return since >= TERM_QUIET_US and not busy
 
     # --- the operators ---
@@ -692,19 +740,20 @@
         if command is operations.Command.INFO:
             return operations.answer(True, self.phase.value, self.figures())
         if command is not None:
-            if self._term_us:
+            if self.phase is Phase.ENDING:
                 return operations.answer(False, self.phase.value)
             if command is operations.Command.REJOIN:
-                self._drain_us = 0
+                self._serve_again()
             elif not self._drain_us:
-                self._drain()
+                self._log(f"draining: {len(self.callers)} connections, {len(self.calls)} calls")
+                self._drain(self._now + DRAIN_REFUSE_US, self._now + DRAIN_LAST_US)
             return operations.answer(True, self.phase.value)
         return operations.answer(False, "this can be asked: " + " ".join(c.value for c in operations.Command))
 
     @property
     def phase(self) -> Phase:
         """What the program is at: PING at the door and the tests of callers' connections follow it."""
-        if self._term_us:
+        if self._term_us or self._succeeded:
             return Phase.ENDING
         if self._drain_us:
             return Phase.DRAINING
@@ -718,28 +767,57 @@
             return True
         return all(e.told_once or e.failures or not self._usable(e) for e in self.exchanges.values())
 
-    def _drain(self) -> None:
-        """Send all callers away, each once nothing of its is open."""
-        self._drain_us = self._now
+    def _drain(self, refuse_us: float, last_us: float) -> None:
+        """Send all callers away, each once nothing of its is open. New set-ups are refused from a moment on;
+        from another, less is waited for."""
+        self._drain_us, self._refuse_us, self._last_us = self._now, refuse_us, last_us
         self._drains += 1
-        self._log(f"draining: {len(self.callers)} connections, {len(self.calls)} calls")
-        self._set_timer(DRAIN_QUIET_US, TimerKind.DRAIN, self._drains)
+        self._set_timer(DRAIN_STEP_US, TimerKind.DRAIN, self._drains)
+
+    def _serve_again(self) -> None:
+        self._drain_us, self._refuse_us = 0, math.inf
 
     def _send_away(self) -> None:
         """Guards the calls that cross a close: a connection is closed only with nothing open or unread."""
         if not self._drain_us:
             return
         self._set_timer(DRAIN_STEP_US, TimerKind.DRAIN, self._drains)
-        patient = self._now - self._drain_us < DRAIN_LAST_US
-        # The ends of calls that stand are owed within 1 s, and no other connection may come for them. One with
-        # late set-ups goes all the same: of two things owed at 4 s that is the one in our hands.
+        if self._now - self._drain_us < DRAIN_QUIET_US and not self._succeeded:
+            return
+        patient = self._now < self._last_us
+        # Ends of calls that stand are owed within 1 s, and no other connection may come for them. One with
+        # late set-ups goes all the same: of two things owed at 4 s that is the one in our hands. A successor
+        # hears of the ends and passes them on.
         needed = {call.caller for call in self.calls.values()}
+        late_us = self._drain_us + DRAIN_ASKED_US
         for caller in self.callers.values():
             speaks = patient and (caller.half_us or self._now - caller.accepted_us < DRAIN_QUIET_US)
-            needs = caller.ident in needed and (patient or caller.asked_us < self._drain_us + DRAIN_ASKED_US)
+            may_stay = not self._succeeded and caller.asked_us < late_us
+            needs = caller.ident in needed and (patient or may_stay)
             if caller.idle and not caller.finishing and not speaks and not needs:
                 self._effects.append(CloseIdle(caller.ident))
 
+    def _hand_over(self, serves: bool) -> None:
+        """A successor serves at the address, or does so no more."""
+        if self._term_us and not serves:
+            return
+        self._succeeded = serves
+        self._effects.append(TakeCallers(not serves))
+        if serves:
+            self._log(f"succeeded: {len(self.callers)} connections, {len(self.calls)} calls")
+            self._drain(math.inf, math.inf)
+            self._leave_by_term()
+        else:
+            self._log("the successor has gone: this process takes callers again")
+            self._serve_again()
+
+    def _leave_by_term(self) -> None:
+        """Where there is a successor, all connections are to be closed before SIGKILL may come."""
+        if self._term_us and self._succeeded:
+            span = self._term_last_us - self._term_us
+            self._last_us = self._term_us + SUCCEEDED_LAST * span
+            self._refuse_us = self._term_us + SUCCEEDED_REFUSE * span
+
     # --- the module ---
 
     def _decide(self, event: i.Event) -> None:
@@ -907,7 +985,7 @@
             self._count("declined", message.class_name)
             stay_ms = self.settings.max_stay_away_us // 1000
             self._queue(caller, Release(message.call, ReleaseCause.CONGESTION, stay_away_ms=stay_ms))
-        elif self._drain_us and self._now - self._drain_us >= DRAIN_REFUSE_US:
+        elif self._now >= self._refuse_us:
             # Guards the drain's end against a connection that is never idle.
             self._count("declined", message.class_name)
             self._queue(caller, Release(message.call, ReleaseCause.CONGESTION, stay_away_ms=DRAIN_AWAY_MS))
@@ -1000,7 +1078,7 @@
 
     def _accepted(self, stream: int) -> None:
         self.counters["callers_accepted"] += 1
-        most = self.sockets - DESCRIPTORS_KEPT - SLOTS * len(self.exchanges)
+        most = self.sockets - self._other_holds - DESCRIPTORS_KEPT - SLOTS * len(self.exchanges)
         if len(self.callers) >= most:
             # Guards the descriptor limit: the connection that is worth least makes room, else the new one.
             # Those on which calls have stood go last, else a flood of new connections ends them.
@@ -1125,6 +1203,7 @@
 
     def _started(self, known: Iterable[ListUpdate], cursor: int) -> None:
         self._started_us = self._now
+        self._set_timer(READY_MOST_US, TimerKind.READY)
         self._set_timer(SWEEP_US, TimerKind.SWEEP)
         for update in known:
             self._list_told(update)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -182,6 +182,7 @@
         self.follows: list[s.Follow] = []
         self.closed: list[int] = []
         self.replies: list[str] = []
+        self.taking: list[bool] = []  # whether callers are taken, as that changed
         self.ended = False
         update = p.ListUpdate(1, i.ListKind.FULL, tuple(listed(k) for k in range(far + 1)))
         self.do(s.Started((update,), 1, ("127.0.0.1", 9)))
@@ -213,6 +214,8 @@
             elif isinstance(effect, s.CloseIdle):
                 self.do(s.Closed(effect.stream))
                 self.closed.append(effect.stream)
+            elif isinstance(effect, s.TakeCallers):
+                self.taking.append(effect.on)
             elif isinstance(effect, s.Reply):
                 self.replies.append(effect.data.decode())
             elif isinstance(effect, s.Exit):
@@ -297,13 +300,33 @@
         }  # fmt: skip
         self.folder = tempfile.TemporaryDirectory()
         self.path = Path(self.folder.name) / "config.json"
+        self.command = command or f"exec {sys.executable} -m latchturn"
+        self.old = self.process = self.start()
+
+    def start(self) -> subprocess.Popen[str]:
+        """Start `run` with the configuration as it is now."""
         self.path.write_text(json.dumps(self.config))
-        self.process = subprocess.Popen(
-            ["/bin/sh", "-c", command or f"exec {sys.executable} -m latchturn"],
-            env={**os.environ, "GW_CONFIG": str(self.path)}, cwd=Path(__file__).parent.parent,
-            stderr=subprocess.PIPE, text=True,
+        return subprocess.Popen(
+            ["/bin/sh", "-c", self.command],
+            env={**os.environ, "GW_CONFIG": str(self.path), "TMPDIR": self.folder.name},
+            cwd=Path(__file__).parent.parent, stderr=subprocess.PIPE, text=True,
         )  # fmt: skip
 
+    def replace(self) -> subprocess.Popen[str]:
+        """Start a second process beside the first, with a door of its own; its links are the ones told of."""
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.door = free.getsockname()[1]
+        self.config["admin_addr"] = f"127.0.0.1:{self.door}"
+        self.old, self.process = self.process, self.start()
+        self.feed, _ = self.channel.accept()
+        self.links = {k: self.accept(k) for k in self.links}
+        self.seconds = {k: self.accept(k) for k in self.seconds}
+        for link in self.links.values():
+            link.send(group_state(20, allowed=40))
+        while self.ask("PING") != ["OK serving"]:
+            pass
+        return self.old
+
     def __enter__(self) -> Program:
         self.feed, _ = self.channel.accept()
         numbers = range(1, len(self.listeners))
@@ -314,8 +337,9 @@
         return self
 
     def __exit__(self, *_: object) -> None:
-        self.process.kill()
-        self.process.communicate()
+        for process in {self.process, self.old}:
+            process.kill()
+            process.communicate()
         peers = (*self.links.values(), *self.seconds.values())
         for sock in (*self.listeners, self.channel, self.feed, *(k.sock for k in peers)):
             sock.close()
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,229 @@
+"""One process replaces another: what the old one does, what the new one does, and what may lie in $TMPDIR."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+import trio
+
+from latchturn import handover as h
+from latchturn import operations as o
+from latchturn import protocol as p
+from latchturn import session as s
+
+from .helpers import SECOND, Desk, Program, set_up
+
+PING = o.Command.PING
+
+
+class Old(unittest.TestCase):
+    """The process that is replaced."""
+
+    def setUp(self) -> None:
+        self.desk = Desk()
+        for stream in (2, 3):
+            self.desk.do(s.Accepted(stream))
+        self.desk.pass_time(SECOND)
+
+    def test_it_takes_no_callers_and_closes_connections_as_they_become_idle(self) -> None:
+        desk = self.desk
+        desk.hear(2, set_up(5))
+        desk.do(s.Succeeded(True))
+        self.assertEqual((desk.taking, desk.ask(PING)), ([True, False], "ERR ending\n"))
+        # The front's tests mean the address, and a successor serves there.
+        self.assertEqual(desk.hear(3, p.Test(9)), [(3, p.TestResult(9, True))])
+        desk.pass_time(s.DRAIN_STEP_US)
+        self.assertEqual(sorted(desk.closed), [1, 3])
+        desk.hear(desk.link[1], p.Answer(5, b"yes"))
+        desk.pass_time(2 * SECOND)
+        desk.hear(2, set_up(7, to=2))  # still served
+        desk.hear(desk.link[2], p.Answer(7, b"yes"))
+        self.assertEqual(desk.figure("outstanding"), 2)
+        self.assertEqual(sorted(desk.closed), [1, 3])
+
+    def test_it_ends_once_all_connections_are_closed_though_calls_stand(self) -> None:
+        desk = self.desk
+        desk.hear(2, set_up(5))
+        desk.hear(desk.link[1], p.Answer(5, b"yes"))
+        desk.do(s.Succeeded(True))
+        desk.pass_time(10 * SECOND)
+        self.assertEqual(sorted(desk.closed), [1, 3])
+        desk.do(s.Terminate())
+        desk.pass_time(SECOND)
+        self.assertFalse(desk.ended)
+        desk.pass_time(SECOND)
+        self.assertEqual(sorted(desk.closed), [1, 2, 3])
+        self.assertTrue(desk.ended)
+
+    def test_late_set_ups_are_refused_so_that_no_connection_stays_busy(self) -> None:
+        desk = self.desk
+        desk.do(s.Succeeded(True))
+        desk.do(s.Terminate())
+        desk.hear(2, set_up(5))
+        desk.pass_time(SECOND)
+        desk.hear(2, set_up(6, to=2))
+        desk.hear(desk.link[1], p.Answer(5, b"yes"))
+        desk.pass_time(SECOND * 14 // 10)
+        refusal = p.Release(7, p.ReleaseCause.CONGESTION, stay_away_ms=s.DRAIN_AWAY_MS)
+        self.assertIn((2, refusal), desk.hear(2, set_up(7)))
+
+    def test_it_serves_again_where_the_successor_goes_before_sigterm(self) -> None:
+        desk = self.desk
+        desk.do(s.Succeeded(True))
+        desk.do(s.Succeeded(False))
+        self.assertEqual((desk.taking, desk.ask(PING)), ([True, False, True], "OK serving\n"))
+        desk.pass_time(SECOND)
+        self.assertEqual(desk.closed, [])
+        desk.do(s.Succeeded(True))
+        desk.do(s.Terminate())
+        desk.do(s.Succeeded(False))
+        self.assertEqual(desk.taking, [True, False, True, False])
+
+
+class New(unittest.TestCase):
+    def test_it_takes_callers_only_once_it_is_ready(self) -> None:
+        ready = Desk()
+        new = s.Session(ready.session.settings, 7, 1024)
+        told = [effect for effect in new.step(ready.now, s.Started((), 1, ("127.0.0.1", 9), True))]
+        new.exchanges = ready.session.exchanges
+        new.exchanges[102].told_once = False
+        told += new.step(ready.now, s.Listening())
+        self.assertNotIn(s.TakeCallers(True), told)
+        self.assertIs(new.phase, s.Phase.STARTING)
+        new.exchanges[102].told_once = True
+        self.assertIn(s.TakeCallers(True), new.step(ready.now, s.Tick()))
+        self.assertNotIn(s.TakeCallers(True), new.step(ready.now, s.Tick()))
+
+    def test_what_the_other_process_holds_comes_off_the_budget(self) -> None:
+        desk = Desk(far=2, sockets=200)
+        desk.do(s.OtherHolds(200))
+        desk.do(s.Accepted(2))
+        self.assertEqual(desk.closed, [1])
+        desk.do(s.OtherHolds(0))
+        desk.do(s.Accepted(3))
+        self.assertEqual(desk.closed, [1])
+
+
+class Folder(unittest.TestCase):
+    """Whatever lies in $TMPDIR, a process starts at once, and is found there afterwards."""
+
+    def lay(self, kind: str, path: Path) -> socket.socket | None:
+        if kind == "file":
+            path.write_text("{")
+        elif kind == "folder":
+            path.mkdir()
+        elif kind != "nothing":
+            sock = socket.socket(socket.AF_UNIX)
+            sock.bind(str(path))
+            if kind == "silent":
+                sock.listen()
+            return sock
+        return None
+
+    def test_stale_foreign_and_silent_files(self) -> None:
+        async def start(path: Path) -> bool:
+            began = time.monotonic()
+            self.assertIsNone(await h.inherit(path, ("127.0.0.1", 1)))
+            self.assertLess(time.monotonic() - began, 5)
+            async with h.published(path) as sock:
+                return sock is not None
+
+        for kind in ("nothing", "file", "folder", "dead", "silent"):
+            with tempfile.TemporaryDirectory() as folder:
+                path = h.path_for(folder, ("127.0.0.1", 1))
+                laid = self.lay(kind, path)
+                self.assertEqual(trio.run(start, path), kind != "folder", kind)
+                self.assertEqual(os.listdir(folder), [path.name] if kind == "folder" else [], kind)
+                if laid is not None:
+                    laid.close()
+
+    def test_a_listener_at_another_address_or_no_listener_is_left(self) -> None:
+        async def pass_on(given: socket.socket, path: Path) -> bool:
+            async with trio.open_nursery() as nursery, h.published(path) as successors:
+
+                async def serve() -> None:
+                    sock, _ = await successors.accept()
+                    await h.give(sock, trio.socket.from_stdlib_socket(given.dup()))
+
+                nursery.start_soon(serve)
+                inherited = await h.inherit(path, address)
+            return inherited is not None
+
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            socket.create_server(("127.0.0.1", 0)) as right,
+            socket.create_server(("127.0.0.1", 0)) as other,
+            socket.socket() as unbound,
+        ):
+            address = right.getsockname()
+            path = h.path_for(folder, address)
+            for given, good in ((right, True), (other, False), (unbound, False)):
+                self.assertEqual(trio.run(pass_on, given, path), good)
+
+    def test_without_a_folder_nothing_is_looked_for(self) -> None:
+        self.assertIsNone(h.path_for(None, ("127.0.0.1", 1)))
+        self.assertIsNone(trio.run(h.inherit, None, ("127.0.0.1", 1)))
+
+
+def found(program: Program) -> Path:
+    """The path at which a successor finds the program, once it does."""
+    path = h.path_for(program.folder.name, ("127.0.0.1", program.port))
+    until = time.monotonic() + 10
+    while not path.exists() and time.monotonic() < until:
+        pass
+    return path
+
+
+class Sockets(unittest.TestCase):
+    def test_a_process_is_replaced_under_load(self) -> None:
+        with Program() as program:
+            caller = program.caller()
+            caller.send(set_up(1))
+            link = program.links[1]
+            self.assertEqual(link.next().call, 1)
+            idle = program.caller()
+            idle.send(p.Test(5))
+            idle.next()
+            found(program)
+            old = program.replace()
+            self.assertIsNone(idle.next())
+            old.send_signal(signal.SIGTERM)
+            newer = program.caller()
+            newer.send(set_up(2))
+            self.assertEqual(program.links[1].next().call, 2)
+            program.links[1].send(p.Answer(2, b"yes"))
+            self.assertEqual(newer.next(), p.Answer(2, b"yes"))
+            link.send(p.Answer(1, b"from before"))
+            self.assertEqual(caller.next(), p.Answer(1, b"from before"))
+            self.assertIsNone(caller.next())
+            self.assertEqual(old.wait(10), 0)
+            # What stood in the old process ends on a link of the new one.
+            program.links[1].send(p.Release(1, p.ReleaseCause.NORMAL))
+            self.assertEqual(newer.next(), p.Release(1, p.ReleaseCause.NORMAL))
+
+    def test_after_a_killed_process_another_starts_in_its_folder(self) -> None:
+        with Program() as program:
+            path = found(program)
+            program.process.kill()
+            program.process.wait()
+            self.assertTrue(path.is_socket())
+            program.replace()
+            caller = program.caller()
+            caller.send(p.Test(1))
+            self.assertEqual(caller.next(), p.TestResult(1, True))
+
+    def test_a_process_that_is_not_found_is_served_beside(self) -> None:
+        with Program() as program:
+            found(program).unlink()
+            old = program.replace()
+            old.send_signal(signal.SIGTERM)
+            self.assertEqual(old.wait(10), 0)
+            caller = program.caller()
+            caller.send(p.Test(1))
+            self.assertEqual(caller.next(), p.TestResult(1, True))
