--- a/latchturn/__main__.py
+++ b/latchturn/__main__.py
@@ -13,6 +13,7 @@
 import trio
 
 from .benchlink import SettingsError, read_settings
+from .brain import validate
 from .interface import Settings
 from .net import Node, flush_log, log
 from .protocol import Config, ConfigError, parse_address, read_config
@@ -23,7 +24,9 @@
     """The configuration in a file and its settings; ConfigError says what is wrong with it."""
     config = read_config(path)
     try:
-        return config, read_settings(config.settings)[0]
+        settings = read_settings(config.settings)[0]
+        validate(settings)
+        return config, settings
     except (SettingsError, ValueError) as error:
         raise ConfigError(f"{path}: {error}") from None
 
@@ -41,7 +44,7 @@
     except (ConfigError, ValueError) as error:
         print(f"latchturn: {error}", file=sys.stderr)
         return 2
-    node = Node(config, core, lambda: read(path)[0])
+    node = Node(config, core, lambda: read(path))
     try:
         trio.run(node.run, instruments=[node.polls])
     finally:
--- a/latchturn/benchlink.py
+++ b/latchturn/benchlink.py
@@ -144,6 +144,7 @@
                 width=widths[k],
                 holding_us=holds[k],
                 pools=tuple(int(float(part)) for part in pools.replace("|", ",").split(",") if part),
+                once=pairs.text(base + "effect", "pure") != "pure",
             )
         )
     stay_away = pairs.integer("allowed.max-retry-after-us", "0")
--- a/latchturn/brain.py
+++ b/latchturn/brain.py
@@ -13,6 +13,7 @@
 from . import interface as i
 
 DIRECT, TWO_LEG = 0, 1  # classes of the ledger
+NEVER_RAN = (i.Outcome.TURNED_AWAY, i.Outcome.NOT_SENT, i.Outcome.UNREACHABLE)
 # Bounds. The minimum of direct calls as a share of the group: the design's starting tenth let two-leg calls
 # crowd busy groups, a half kept idle circuits from them on quiet days.
 MINIMUM_SHARE = 0.3
@@ -146,6 +147,7 @@
     offer: i.CallOffered
     cls: i.CallClass
     first_us: int  # when the caller first tried
+    most: int  # attempts, by the settings with which it was offered
     attempts: int = 0
     at: Exchange | None = None  # where its attempt or its standing circuits are
     two_leg: bool = False
@@ -167,11 +169,8 @@
     """The decisions of one proxy."""
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
-        _validate(settings)
-        self.settings = settings
+        self._use(settings)
         self.random = random.Random(seed)
-        self.pools = settings.shape is i.Shape.POOLS
-        self.aim_us = min(c.aim_us for c in settings.classes)
         self.backs = 0.0  # share of two-leg set-ups that came back, smoothed
         self.usual_us = USUAL_START * self.aim_us  # set-up time of direct calls, smoothed
         number = settings.own_number
@@ -193,6 +192,12 @@
         self.actions: list[i.Action] = []
         self.now = 0
 
+    def _use(self, settings: i.Settings) -> None:
+        validate(settings)
+        self.settings = settings
+        self.pools = settings.shape is i.Shape.POOLS
+        self.aim_us = min(c.aim_us for c in settings.classes)
+
     def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
         """What to do about one event."""
         self.actions = []
@@ -215,6 +220,10 @@
             self._list(event)
         elif isinstance(event, i.CallerLeft):
             self._left(event)
+        elif isinstance(event, i.SettingsChanged):
+            self._use(event.settings)
+            for number in list(self.lines):  # calls in line may be out of attempts now
+                self._serve(number)
         return self.actions
 
     def avoided(self, now_us: int) -> int:
@@ -279,7 +288,8 @@
             return
         if offer.call in self.calls:
             return
-        call = Call(offer, self.settings.classes[offer.class_index], self._first_try(offer))
+        cls = self.settings.classes[offer.class_index]
+        call = Call(offer, cls, self._first_try(offer), self.settings.max_attempts)
         if offer.destination == self.settings.own_number and not self.pools:
             self.actions.append(i.Refuse(offer.call, 0))
             return
@@ -323,7 +333,7 @@
     def _route(self, call: Call) -> bool:
         """Send the call if the ordinary path and the guards admit it."""
         offer = call.offer
-        if call.attempts >= self.settings.max_attempts or self.now < call.not_before or self._hopeless(call):
+        if self._used_up(call) or self.now < call.not_before or self._hopeless(call):
             return False
         target = self.by_number.get(offer.destination)
         if target is None or not target.ready:
@@ -392,6 +402,10 @@
         timeout = min(call.offer.deadline_us - self.now, max(timeout, int(MIN_TIMEOUT * self.aim_us)))
         self.actions.append(i.SendSetup(call.offer.call, to.exchange, timeout))
 
+    def _used_up(self, call: Call) -> bool:
+        """Whether a call may have no further attempt, by what it was offered with or what counts now."""
+        return call.attempts >= min(call.most, self.settings.max_attempts)
+
     def _hopeless(self, call: Call) -> bool:
         """Whether its caller leaves too soon for an attempt; where set-ups are quick little time will do."""
         return call.offer.deadline_us - self.now < int(LEAST_TIME * self.usual_us)
@@ -418,7 +432,7 @@
         end ever so far.
         """
         target = self.by_number.get(call.offer.destination)
-        if target is None or not target.ready or call.attempts >= self.settings.max_attempts:
+        if target is None or not target.ready or self._used_up(call):
             return True
         return self._hopeless(call) or max(self.now, self._opens(call)) >= call.until
 
@@ -444,7 +458,7 @@
             return self.settings.max_stay_away_us
         # Guards against callers that come too late for their aim where nothing but chance stood in the way:
         # an exchange that fails set-ups at random has used the call's attempts up.
-        soon = int(SOON * self.aim_us) if call.attempts >= self.settings.max_attempts else 0
+        soon = int(SOON * self.aim_us) if self._used_up(call) else 0
         return max(frees, self._opens(call) - self.now, soon)
 
     def _yields(self, call: Call) -> bool:
@@ -538,6 +552,10 @@
                 self._failed(call)
             else:
                 del self.calls[event.call]
+        elif call.cls.once and outcome not in NEVER_RAN:
+            # Guards against effects that come twice: its caller would try a refused call again.
+            self._failed(call)
+            self.actions.append(i.GiveUp(event.call))
         elif cause is i.Cause.NUMBER_BUSY or call.offer.transit:
             self._refuse(call, self.settings.max_stay_away_us if cause is i.Cause.NUMBER_BUSY else 0)
         elif outcome is i.Outcome.NOT_SENT and cause is i.Cause.PROCESSOR_FULL:
@@ -694,7 +712,7 @@
     table[number] = value
 
 
-def _validate(s: i.Settings) -> None:
+def validate(s: i.Settings) -> None:
     """Raise ValueError, naming the field, for settings that cannot be."""
 
     def need(good: bool, name: str, value: object) -> None:
--- a/latchturn/interface.py
+++ b/latchturn/interface.py
@@ -70,11 +70,12 @@
     width: int  # circuits on each trunk group
     holding_us: int
     pools: tuple[int, ...] = ()  # shape POOLS: numbers of the pools that it may go to
+    once: bool = False  # an attempt that may have run must not be repeated, nor the call refused after it
 
 
 @dataclass(slots=True, frozen=True)
 class Settings:
-    """What a controller is told once, at its start."""
+    """What a controller is told at its start, and with `SettingsChanged`."""
 
     classes: tuple[CallClass, ...]
     shape: Shape
@@ -193,7 +194,17 @@
     token: int
 
 
-Event = ExchangeList | CallOffered | CallStands | AttemptEnded | CallerLeft | ExchangeReport | TimerDue
+@dataclass(slots=True)
+class SettingsChanged:
+    """Event: other settings count from now on; calls under way keep their class and no attempts are added."""
+
+    settings: Settings
+
+
+Event = (
+    ExchangeList | CallOffered | CallStands | AttemptEnded | CallerLeft | ExchangeReport | TimerDue
+    | SettingsChanged
+)  # fmt: skip
 
 
 @dataclass(slots=True)
--- a/latchturn/net.py
+++ b/latchturn/net.py
@@ -25,7 +25,7 @@
 
 import trio
 
-from . import handover, operations, protocol, session
+from . import handover, interface, operations, protocol, session
 
 RECEIVE = 8 * 1024  # about 50 messages: the other connections have their turn after them
 BACKLOG = 4096  # as far as the system allows: callers come by the hundred at once
@@ -105,7 +105,10 @@
     """One session controller on its sockets."""
 
     def __init__(
-        self, config: protocol.Config, core: session.Session, reread: Callable[[], protocol.Config]
+        self,
+        config: protocol.Config,
+        core: session.Session,
+        reread: Callable[[], tuple[protocol.Config, interface.Settings]],
     ) -> None:
         self.config = config
         self.core = core
@@ -455,14 +458,16 @@
     def _reconfigure(self) -> None:
         """Guards against a file that cannot be used: it is a line in the log, and the old one stays."""
         try:
-            config = self._reread()
+            config, settings = self._reread()
+            if missing := self.config.keys - config.keys:
+                raise protocol.ConfigError(f"{', '.join(sorted(missing))} is missing")
         except Exception as error:  # noqa: BLE001 - whatever is in the file
             self.tell(session.ConfigTurnedDown(str(error)))
             return
-        for name in ("name", "listen", "seed", "settings"):
+        for name in ("name", "listen", "seed"):
             if getattr(config, name) != getattr(self.config, name):
                 log(f"new configuration: another {name} counts from the next start")
-        self.tell(session.Reconfigured(config.known, config.channel, config.sockets))
+        self.tell(session.Reconfigured(config.known, config.channel, config.sockets, settings))
 
     def counters_line(self) -> str:
         """The figures and counters as one line of JSON."""
--- a/latchturn/protocol.py
+++ b/latchturn/protocol.py
@@ -31,6 +31,9 @@
 STATUSES = {"ready": ListState.READY, "draining": ListState.DRAINING, "gone": ListState.GONE}
 
 
+MAY_BE_ABSENT = ("admin_addr", "aim-stretch", "fleet")  # keys of the configuration
+
+
 class ProtocolError(Exception):
     """Input that does not follow the protocol."""
 
@@ -428,6 +431,7 @@
     known: tuple[ListUpdate, ...]
     settings: str
     admin: tuple[str, int] | None = None  # the operators' door, None if there is none
+    keys: frozenset[str] = frozenset()  # paths of all keys but those of events and those that may be absent
 
 
 def read_config(path: str | Path) -> Config:
@@ -448,6 +452,7 @@
             known=tuple(_known_update(command) for command in known["cmds"]),
             settings=flatten_settings(data["settings"]),
             admin=parse_address(data["admin_addr"]) if data.get("admin_addr") else None,
+            keys=frozenset(_paths("", data)),
         )
     except KeyError as error:
         raise ConfigError(f"{path}: {error.args[0]} is missing") from None
@@ -455,6 +460,18 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
+def _paths(path: str, value: Any) -> set[str]:
+    """The paths of the keys in a value; in a list, of those that all items have."""
+    paths: set[str] = set()
+    if isinstance(value, Mapping):
+        for key, inner in value.items():
+            if key not in MAY_BE_ABSENT:
+                paths |= {f"{path}.{key}"} | (_paths(f"{path}.{key}", inner) if key != "known" else set())
+    elif isinstance(value, list) and value:
+        paths = set.intersection(*(_paths(path, item) for item in value))
+    return paths
+
+
 def _known_update(command: Mapping[str, Any]) -> ListUpdate:
     nodes = command["nodes"]
     listed = []
--- a/latchturn/session.py
+++ b/latchturn/session.py
@@ -15,7 +15,7 @@
 import traceback
 from collections import Counter, deque
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum, auto
 
 from . import interface as i
@@ -136,6 +136,7 @@
     known: tuple[ListUpdate, ...]
     channel: tuple[str, int]
     sockets: int
+    settings: i.Settings
 
 
 @dataclass(slots=True, frozen=True)
@@ -487,7 +488,6 @@
     """The state of one session controller."""
 
     def __init__(self, settings: i.Settings, seed: int, sockets: int) -> None:
-        self.settings = settings
         self.sockets = sockets
         self.counters: Counter[str] = Counter()
         self.calls: dict[int, Call] = {}
@@ -497,10 +497,9 @@
         self.links: dict[int, Link] = {}
         self._controller = Controller(settings, seed)
         self._random = random.Random(seed)
-        self._classes = {settings_word(c.name): k for k, c in enumerate(settings.classes)}
-        self._served = dict.fromkeys(self._classes)  # every class that there has been, in their order
-        self._tenants = frozenset(settings_word(name) for name in settings.tenants)
         self._now = 0
+        self._served: dict[str, None] = {}  # the names of all classes that there have been, in their order
+        self._use(settings, None)
         self._effects: list[Effect] = []
         self._events: deque[i.Event] = deque()  # on their way to the module
         self._ready: dict[int, Stream] = {}  # streams with something to write
@@ -527,6 +526,20 @@
         self._term_last_us = 0  # when all that is open then is answered
         self._answer_all = False
 
+    def _use(self, settings: i.Settings, before: i.Settings | None) -> None:
+        """Let settings count, and for as long as their callers may go on trying, the classes before too."""
+        self._settings_read = settings
+        old = () if before is None else before.classes
+        self._before = {settings_word(c.name): c for c in old}
+        self._before_until_us = self._now + max((c.give_up_us for c in old), default=0)
+        names = {settings_word(c.name) for c in settings.classes}
+        left = tuple(c for name, c in self._before.items() if name not in names)
+        tenants = () if before is None or not settings.tenants else before.tenants
+        self.settings = replace(settings, classes=settings.classes + left)
+        self._classes = {settings_word(c.name): k for k, c in enumerate(self.settings.classes)}
+        self._served.update(dict.fromkeys(self._classes))
+        self._tenants = frozenset(settings_word(name) for name in (*settings.tenants, *tenants))
+
     # --- the outside ---
 
     def step(self, now_us: int, happened: Input) -> list[Effect]:
@@ -620,11 +633,15 @@
                 self._replaces = replaces
                 self._started(known, cursor)
                 self._follow(channel)
-            case Reconfigured(known, channel, sockets):
+            case Reconfigured(known, channel, sockets, settings):
                 # The events of the file that are not known yet count; its whole list of the start is old.
                 for event in known:
                     self._list_told(event)
                 self.sockets = sockets
+                if settings != self._settings_read:
+                    self._use(settings, self.settings)
+                    self._events.append(i.SettingsChanged(self.settings))
+                    self._log("new settings: classes " + ", ".join(c.name for c in settings.classes))
                 self.counters["sighup_applied"] += 1
                 self._log(f"new configuration: command channel {channel[0]}:{channel[1]}, {sockets} sockets")
                 self._follow(channel)
@@ -944,13 +961,14 @@
         if number is None:
             return "unknown class"
         cls, figures = self.settings.classes[number], set_up.figures
+        before = self._before.get(settings_word(set_up.class_name), cls)
         good = {
             "id": set_up.call != 0,
             "tenant": not self._tenants or settings_word(set_up.tenant) in self._tenants,
             "number called": CALLED.fullmatch(set_up.called) is not None,
-            "wait": 1 <= set_up.wait_ms <= cls.give_up_us // 1000 + 1,
+            "wait": 1 <= set_up.wait_ms <= max(cls.give_up_us, before.give_up_us) // 1000 + 1,
             "dest": 0 <= figures.get("dest", -1) < NUMBERS,
-            "width": figures.get("width") == cls.width,
+            "width": figures.get("width") in (cls.width, before.width),
             "via": -1 <= figures.get("via", -1) < NUMBERS,
             "transit": figures.get("transit", 0) in (0, 1),
             "again": figures.get("again", 0) in (0, 1),
@@ -1561,6 +1579,9 @@
             elif not caller.told and caller.idle and self._now - caller.accepted_us > SPEAK_US:
                 self.counters["callers_silent"] += 1
                 self._drop(caller)
+        if self._before and self._now > self._before_until_us:
+            self._use(self._settings_read, None)
+            self._events.append(i.SettingsChanged(self.settings))
         self._unsent = [kept for kept in self._unsent if kept[0] > self._now]
         held = self._unsent and self._unsent[0][0] - STANDING_RELEASE_US < self._now - HOLD_RELEASE_US
         if held and (best := self._best_caller()) is not None:
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -608,7 +608,7 @@
         desk.do(s.ListTold(gone))
         count = len(desk.connects)
         desk.do(s.ListTold(whole))
-        desk.do(s.Reconfigured((whole, gone, draining), ("127.0.0.1", 10), 512))
+        desk.do(s.Reconfigured((whole, gone, draining), ("127.0.0.1", 10), 512, desk.session.settings))
         self.assertNotIn(101, desk.session.exchanges)
         self.assertEqual(len(desk.connects), count)
         self.assertEqual(desk.session.exchanges[102].state, i.ListState.DRAINING)
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,204 @@
+"""New settings while the program runs: what counts from when, and which files are turned down whole."""
+
+from __future__ import annotations
+
+import copy
+import json
+import signal
+import tempfile
+import unittest
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from latchturn import interface as i
+from latchturn import protocol as p
+from latchturn import session as s
+from latchturn.__main__ import read
+from latchturn.net import Node
+
+from .helpers import NESTED, SECOND, SETTINGS, Bench, Desk, Program, changed, finals, sends, set_up
+
+PLAIN = i.CallClass("premium quote", 1.0, 0.1, 1_500_000, 9 * SECOND, 1, 10 * SECOND)
+NEXT = replace(PLAIN, name="next quote", give_up_us=3 * SECOND)
+
+
+def of_class(call: int, name: str, wait_ms: int = 3000) -> p.SetUp:
+    return replace(set_up(call, wait_ms=wait_ms), class_name=name)
+
+
+class Reducer(unittest.TestCase):
+    def use(self, desk: Desk, *classes: i.CallClass, **more: int) -> None:
+        settings = replace(desk.session.settings, classes=classes, **more)  # type: ignore[arg-type]
+        desk.do(s.Reconfigured((), ("127.0.0.1", 9), 1024, settings))
+
+    def taken(self, desk: Desk, message: p.SetUp) -> bool:
+        written = [m for _, m in desk.hear(1, message)]
+        return p.Release(message.call, p.ReleaseCause.INVALID_CONTENTS) not in written
+
+    def test_classes_appear_at_once_and_vanish_when_their_callers_have_given_up(self) -> None:
+        desk = Desk()
+        self.assertFalse(self.taken(desk, of_class(1, "next_quote")))
+        self.use(desk, NEXT)
+        self.assertTrue(self.taken(desk, of_class(2, "next_quote")))
+        self.assertTrue(self.taken(desk, of_class(3, "premium_quote", 8000)))
+        self.assertFalse(self.taken(desk, of_class(4, "next_quote", 8000)))
+        desk.pass_time(PLAIN.give_up_us - SECOND)
+        self.assertTrue(self.taken(desk, of_class(5, "premium_quote", 500)))
+        desk.pass_time(2 * SECOND)
+        self.assertFalse(self.taken(desk, of_class(6, "premium_quote", 500)))
+        self.assertTrue(self.taken(desk, of_class(7, "next_quote")))
+        self.assertEqual(desk.figure("sighup_applied"), 1)
+        self.assertGreater(desk.figure("declined.premium_quote"), 0)  # its counts are kept
+
+    def test_a_wait_of_the_class_as_it_was_is_still_good(self) -> None:
+        desk = Desk()
+        self.use(desk, replace(PLAIN, give_up_us=SECOND))
+        self.assertTrue(self.taken(desk, of_class(1, "premium_quote", 8000)))
+
+    def test_a_class_that_moves_to_another_index_is_the_same_class(self) -> None:
+        desk = Desk()
+        desk.hear(1, set_up(1))
+        self.use(desk, NEXT, PLAIN)
+        desk.hear(1, set_up(2))
+        module = desk.session._controller.calls
+        self.assertEqual([module[1].cls.name, module[2].cls.name], ["premium_quote", PLAIN.name])
+        desk.hear(desk.link[1], p.Answer(1, b"yes"))
+        self.assertEqual(desk.figure("succeeded.premium_quote"), 1)
+
+    def test_the_last_answer_after_sigterm_waits_for_calls_of_before(self) -> None:
+        desk = Desk()
+        desk.hear(1, set_up(1, wait_ms=2500))
+        self.use(desk, replace(PLAIN, give_up_us=500_000, aim_us=100_000))
+        desk.do(s.Terminate())
+        desk.pass_time(1_400_000)
+        self.assertEqual(desk.figure("outstanding"), 1)
+
+
+class Module(unittest.TestCase):
+    def test_fewer_attempts_count_for_calls_under_way_and_more_do_not(self) -> None:
+        for before, after, more in ((4, 1, False), (4, 2, True), (1, 4, False)):
+            bench = Bench(changed(max_attempts=before))
+            call, _ = bench.offer(1)
+            bench.do(i.SettingsChanged(changed(max_attempts=after)))
+            actions = bench.ended(call, 1, i.Outcome.TURNED_AWAY, i.Cause.NO_CIRCUIT)
+            self.assertEqual((bool(sends(actions)), bool(finals(actions))), (more, not more))
+
+    def test_a_call_in_line_that_is_out_of_attempts_is_answered_at_once(self) -> None:
+        bench = Bench(far=1)
+        call, _ = bench.offer(1)
+        bench.told(1, 0)
+        self.assertEqual(finals(bench.ended(call, 1, i.Outcome.TURNED_AWAY, i.Cause.NO_CIRCUIT)), [])
+        self.assertEqual(finals(bench.do(i.SettingsChanged(changed(max_attempts=1)))), [call])
+
+    def test_a_call_keeps_its_class(self) -> None:
+        bench = Bench()
+        call, _ = bench.offer(1, cls=2)
+        bench.do(i.SettingsChanged(changed(classes=SETTINGS.classes[:1])))
+        self.assertEqual(bench.controller.calls[call].cls.name, "urgent")
+        self.assertEqual(finals(bench.stands(call, 1)), [])
+
+    def test_a_call_that_may_run_once_fails_where_it_may_have_run(self) -> None:
+        once = changed(classes=tuple(replace(c, once=True) for c in SETTINGS.classes))
+        cases = {
+            i.Outcome.CUT: i.GiveUp, i.Outcome.TIMED_OUT: i.GiveUp, i.Outcome.NO_LINE: i.GiveUp,
+            i.Outcome.TURNED_AWAY: i.SendSetup, i.Outcome.UNREACHABLE: i.SendSetup,
+        }  # fmt: skip
+        for outcome, action in cases.items():
+            bench = Bench(once)
+            call, _ = bench.offer(1)
+            cause = i.Cause.NUMBER_BUSY if outcome is i.Outcome.NO_LINE else i.Cause.NONE
+            actions = bench.ended(call, 1, outcome, cause)
+            actions = [a for a in actions if isinstance(a, i.GiveUp | i.Refuse | i.SendSetup)]
+            self.assertEqual([type(a) for a in actions], [action], outcome)
+
+
+def without(*path: str) -> Callable[[dict[str, Any]], None]:
+    def cut(data: dict[str, Any]) -> None:
+        for key in path[:-1]:
+            data = data[key] if not isinstance(data[key], list) else data[key][0]
+        del data[path[-1]]
+
+    return cut
+
+
+def with_grade(key: str, value: object) -> Callable[[dict[str, Any]], None]:
+    return lambda data: data["settings"]["grades"][0].__setitem__(key, value)
+
+
+BROKEN: dict[str, Callable[[dict[str, Any]], object]] = {
+    "no settings": without("settings"),
+    "no limits": without("limits"),
+    "no channel": without("channel"),
+    "no aim": without("settings", "grades", "objective-us"),
+    "no name of a class": without("settings", "grades", "name"),
+    "no worth when late": without("settings", "grades", "late-value"),
+    "no widths": without("settings", "family-info", "widths"),
+    "no pause": without("settings", "allowed", "max-retry-after-us"),
+    "no attempts": without("settings", "allowed", "send-cap"),
+    "no tenants": without("settings", "realms"),
+    "deadline below 0": with_grade("give-up-us", -5),
+    "deadline 0": with_grade("give-up-us", 0),
+    "deadline no number": with_grade("give-up-us", None),
+    "attempts 0": lambda data: data["settings"]["allowed"].__setitem__("send-cap", 0),
+    "no classes": lambda data: data["settings"].__setitem__("grades", []),
+}
+
+
+class Files(unittest.TestCase):
+    def test_a_broken_file_is_turned_down_whole_and_a_good_one_is_not(self) -> None:
+        inputs: list[s.Input] = []
+
+        class Core:
+            def step(self, now: int, happened: s.Input) -> list[s.Effect]:
+                inputs.append(happened)
+                return []
+
+            def wake_us(self) -> None:
+                return None
+
+        good = {
+            "name": "n0", "listen": "127.0.0.1:1", "seed": "8c", "channel": "127.0.0.1:2",
+            "limits": {"cores": 1.0, "memory_mb": 80, "sockets": 384}, "known": {"cursor": 0, "cmds": []},
+            "settings": NESTED,
+        }  # fmt: skip
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "config.json"
+            path.write_text(json.dumps({**good, "admin_addr": "127.0.0.1:3"}))
+            config, _ = read(str(path))
+            node = Node(config, Core(), lambda: read(str(path)))  # type: ignore[arg-type]
+            texts = {"empty": "", "cut off": json.dumps(good)[:-30], "a list": "[]"}
+            for name, spoil in BROKEN.items():
+                data = copy.deepcopy(good)
+                spoil(data)
+                texts[name] = json.dumps(data)
+            for name, text in texts.items():
+                path.write_text(text)
+                node._reconfigure()
+                self.assertIsInstance(inputs.pop(), s.ConfigTurnedDown, name)
+            more = copy.deepcopy(good)
+            first = more["settings"]["grades"][0]
+            more["settings"]["grades"].append({**first, "name": "v2", "effect": "pure"})
+            more["settings"]["family-info"].update({"widths": [1, 1], "class-hold-us": [1, 1]})
+            for data in (good, more):
+                path.write_text(json.dumps(data))
+                node._reconfigure()
+                self.assertIsInstance(inputs.pop(), s.Reconfigured)
+
+    def test_on_sockets(self) -> None:
+        with Program() as program:
+            caller = program.caller()
+            settings = copy.deepcopy(NESTED)
+            settings["grades"][0]["name"] = "next quote"
+            good = json.dumps({**program.config, "settings": settings})
+            for text, figure in (("{", "rejected"), (good, "applied")):
+                program.path.write_text(text)
+                program.process.send_signal(signal.SIGHUP)
+                while f"edge_gw.sighup_{figure}:1|c" not in program.ask("INFO"):
+                    pass
+            caller.send(of_class(1, "next_quote"), set_up(2))
+            self.assertEqual({program.links[1].next().call for _ in range(2)}, {1, 2})
+            program.links[1].send(p.Answer(1, b"yes"))
+            self.assertEqual(caller.next(), p.Answer(1, b"yes"))
+            self.assertIn("edge_gw.succeeded.next_quote:1|c", program.ask("INFO"))
