Make room by last activity, and let the descriptor budget follow the limit

Seen by reading, proved by tests that fail without it: with 128 descriptors and 20 exchanges no caller was let in (64 + 4 x 20 kept); a set-up whose pieces took 2 s was closed at 2 s; and in a crowd the oldest stranger went first, be it mid-request.

--- a/latchturn/net.py
+++ b/latchturn/net.py
@@ -386,7 +386,7 @@
             while data := await _receive(sock):
                 for message in decoder.feed(data):
                     self.tell(session.Heard(ident, message, self.polls.waited_us()))
-                if decoder.half_read != half:
+                if half or decoder.half_read:
                     half = decoder.half_read
                     self.tell(session.HalfRead(ident, half))
         except protocol.ProtocolError as error:
--- a/latchturn/session.py
+++ b/latchturn/session.py
@@ -65,11 +65,16 @@
 CHANNEL_SILENT_US = 1_750_000
 CHANNEL_CONNECT_US = 700_000
 CHANNEL_PAUSE_US = 200_000  # at most, after a connection that told nothing
-DESCRIPTORS_KEPT = 64  # for the interpreter, the listener, the channel and connections being closed
+# For the interpreter, the listeners, the door, the channel and connections being closed; 28 have been seen.
+DESCRIPTORS_KEPT = 40
+LINKS_KEPT = 3  # descriptors for each exchange: further links serve second attempts and are seldom all open
+CALLERS_LEAST = 3  # callers may hold one part in so many of the limit, so as much is left to them in any case
 # Callers. One that has been told nothing so long after it connected, and has no call open, is closed: it is
 # owed a word or a close within 3 s. So is one whose message stays half read.
-SPEAK_US = 2 * SECOND
-HALF_READ_US = 2 * SECOND
+# A good set-up may take 2 s and more to come in its pieces.
+SPEAK_US = 2_600_000
+HALF_READ_US = 2_600_000
+FRESH_US = 400_000  # a connection that did something so lately makes room only if all did
 LINK_HALF_READ_US = SECOND // 4  # an exchange's messages are small and come whole
 FAULTS_MOST = 40  # messages of no use in a row on one connection; one is forgiven every 50 ms
 FAULTS_FORGIVEN = 5  # each sweep
@@ -161,7 +166,7 @@
 
 @dataclass(slots=True, frozen=True)
 class HalfRead:
-    """Whether the input read last ends within a message; told when it changes."""
+    """Whether the input read last ends within a message; told when it does, and when it does no more."""
 
     stream: int
     half: bool
@@ -493,7 +498,7 @@
         self.calls: dict[int, Call] = {}
         self.exchanges: dict[int, Exchange] = {}
         self.callers: dict[int, Caller] = {}
-        self._strangers: dict[int, Caller] = {}  # those that have set up no call, the oldest first
+        self._strangers: dict[int, Caller] = {}  # those that have set up no call, as they last did anything
         self.links: dict[int, Link] = {}
         self._controller = Controller(settings, seed)
         self._random = random.Random(seed)
@@ -596,8 +601,11 @@
                     self._peer_done(stream)
             case HalfRead(stream, half):
                 if (reader := self.callers.get(stream) or self.links.get(stream)) is not None:
-                    reader.half_us = self._now if half else 0
-                    if half and isinstance(reader, Link):
+                    began = half and not reader.half_us
+                    reader.half_us = (reader.half_us or self._now) if half else 0
+                    if isinstance(reader, Caller):
+                        self._active(reader)
+                    elif began:
                         self._set_timer(LINK_HALF_READ_US, TimerKind.HALF_READ, reader)
             case Ended(stream):
                 self._peer_done(stream)
@@ -624,6 +632,7 @@
                     self._effects.append(TakeCallers(True))
             case OtherHolds(descriptors):
                 self._other_holds = descriptors
+                self._make_room()
             case Succeeded(serves):
                 self._hand_over(serves)
             case ConfigTurnedDown(reason):
@@ -1096,14 +1105,10 @@
 
     def _accepted(self, stream: int) -> None:
         self.counters["callers_accepted"] += 1
-        most = self.sockets - self._other_holds - DESCRIPTORS_KEPT - SLOTS * len(self.exchanges)
-        if len(self.callers) >= most:
+        if len(self.callers) >= self._most_callers():
             # Guards the descriptor limit: the connection that is worth least makes room, else the new one.
-            # Those on which calls have stood go last, else a flood of new connections ends them.
             self.counters["callers_over_budget"] += 1
-            least = next((c for c in self._strangers.values() if c.idle), None)
-            if least is None and (idle := [c for c in self.callers.values() if c.idle]):
-                least = min(idle, key=lambda c: (c.trust, c.active_us))
+            least = self._least_caller()
             if least is None:
                 self._effects.append(Close(stream))
                 return
@@ -1111,10 +1116,44 @@
         caller = Caller(stream, up=True, accepted_us=self._now, active_us=self._now)
         self.callers[stream] = self._strangers[stream] = caller
 
+    def _most_callers(self) -> int:
+        """How many connections of callers fit the descriptor limit, beside those of the other process."""
+        ours = self.sockets - self._other_holds
+        return max(ours // CALLERS_LEAST, ours - DESCRIPTORS_KEPT - LINKS_KEPT * len(self.exchanges))
+
+    def _least_caller(self) -> Caller | None:
+        """The idle connection that is worth least, None if all are busy.
+
+        Guards good callers against a crowd. Strangers go first, by when they last did anything: a set-up
+        that comes in pieces is not a connection that is silent. Where all of them have done something just
+        now, a connection goes on which nothing is open or stands; those on which calls stand go last.
+        """
+        stranger = next((c for c in self._strangers.values() if c.idle), None)
+        if stranger is not None and self._now - stranger.active_us >= FRESH_US:
+            return stranger
+        needed = {call.caller for call in self.calls.values()}
+        idle = [c for c in self.callers.values() if c.trust and c.idle and not c.half_us]
+        known = min(idle, key=lambda c: (c.ident in needed, c.active_us), default=None)
+        if known is None or (known.ident in needed and stranger is not None):
+            return stranger
+        return known if self._now - known.active_us >= FRESH_US or stranger is None else stranger
+
+    def _make_room(self) -> None:
+        """The other process holds more now: what fits no more goes."""
+        while len(self.callers) > self._most_callers() and (least := self._least_caller()) is not None:
+            self.counters["callers_over_budget"] += 1
+            self._drop(least)
+
+    def _active(self, caller: Caller) -> None:
+        """It has sent something. Strangers are kept in the order in which they last did."""
+        caller.active_us = self._now
+        if self._strangers.pop(caller.ident, None) is not None:
+            self._strangers[caller.ident] = caller
+
     def _from_caller(self, caller: Caller, message: Message, waited_us: int) -> None:
         if caller.finishing:
             return
-        caller.active_us = self._now
+        self._active(caller)
         caller.half_us = caller.half_us and self._now
         if isinstance(message, SetUp | Unusable):
             self._asked(caller, message, waited_us)
