Count and bequeath the calls of a replaced process

Seen: after a replacement 11 of 23 readings of 'outstanding' were untrue (31 told, 43 to 53 open): what stood in the old process was counted by nobody.

--- a/latchturn/handover.py
+++ b/latchturn/handover.py
@@ -17,8 +17,11 @@
 import trio
 
 PATIENCE_S = 0.3  # with a process that may be hung, or something else
+# The words, with what follows them.
 SERVING = "serving"
-HELD = "held"
+HELD = "held"  # descriptors, calls
+STANDS = "stands"  # call, exchange
+OVER = "over"  # call, cause
 MOST_WORDS = 4096  # bytes
 
 
@@ -32,27 +35,28 @@
     return len(os.listdir("/proc/self/fd"))
 
 
-def say(sock: trio.socket.SocketType, *words: object) -> None:
+def say(sock: trio.socket.SocketType, word: str, *numbers: int) -> None:
     """Tell the other process; if it does not listen there is nobody to tell."""
     with contextlib.suppress(OSError):
-        os.write(sock.fileno(), " ".join(map(str, words)).encode() + b"\n")
+        os.write(sock.fileno(), " ".join((word, *map(str, numbers))).encode() + b"\n")
 
 
-async def hear(sock: trio.socket.SocketType) -> AsyncIterator[list[str]]:
-    """The other process's words, line by line, until it ends or says what cannot be."""
+async def hear(sock: trio.socket.SocketType) -> AsyncIterator[tuple[str, list[int]]]:
+    """The other process's words, each with its numbers, until it ends; what cannot be read is passed over."""
     unread = b""
     with contextlib.suppress(OSError):
         while len(unread) < MOST_WORDS and (data := await sock.recv(MOST_WORDS)):
             *lines, unread = (unread + data).split(b"\n")
             for line in lines:
-                yield line.decode("ascii", "replace").split()
+                word, *numbers = line.decode("ascii", "replace").split() or [""]
+                if all(n.isdecimal() and len(n) <= 20 for n in numbers):
+                    yield word, [int(n) for n in numbers]
 
 
 async def give(sock: trio.socket.SocketType, listener: trio.socket.SocketType) -> None:
-    """Hand the listener over."""
+    """Hand the listener over, with an empty line."""
     handle = array.array("i", [listener.fileno()])
-    rights = (socket.SOL_SOCKET, socket.SCM_RIGHTS, handle)
-    await sock.sendmsg([f"{HELD} {descriptors()}\n".encode()], [rights])
+    await sock.sendmsg([b"\n"], [(socket.SOL_SOCKET, socket.SCM_RIGHTS, handle)])
 
 
 async def inherit(
--- a/latchturn/net.py
+++ b/latchturn/net.py
@@ -123,6 +123,7 @@
         self._path = handover.path_for(os.environ.get("TMPDIR"), config.listen)
         self._listener: trio.socket.SocketType
         self._predecessor: trio.socket.SocketType | None = None  # the connection to it
+        self._others: list[trio.socket.SocketType] = []  # connections to the process before, and after
         self._front = trio.CancelScope()  # of what takes callers, and successors
         self._wake = trio.Event()
         self._wake_us: int | None = None
@@ -231,6 +232,13 @@
                         handover.say(self._predecessor, handover.SERVING)
                     self._front = trio.CancelScope()
                     self._nursery.start_soon(self._guard, self._run_front, self._front)
+            case session.Bequeath(calls):
+                for other in self._others:
+                    for call in calls:
+                        handover.say(other, handover.STANDS, *call)
+            case session.PassOn(ident, cause):
+                for other in self._others:
+                    handover.say(other, handover.OVER, ident, cause)
             case session.Reply(visitor, data):
                 if visitor in self._visits:
                     self._visits[visitor].reply = data
@@ -298,22 +306,27 @@
         with sock:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._tell_held, sock)
+                self._others.append(sock)
                 async for words in handover.hear(sock):
                     match words:
-                        case [handover.HELD, count] if count.isdecimal():
-                            self.tell(session.OtherHolds(int(count)))
-                        case [handover.SERVING]:
+                        case handover.HELD, [held, calls]:
+                            self.tell(session.OtherHolds(held, calls))
+                        case handover.STANDS, [call, exchange]:
+                            self.tell(session.Bequeathed(call, exchange))
+                        case handover.OVER, [call, cause] if cause < 256:
+                            self.tell(session.PassedOn(call, cause))
+                        case handover.SERVING, []:
                             serves = True
                             self.tell(session.Succeeded(True))
+                self._others.remove(sock)
                 nursery.cancel_scope.cancel()
         self.tell(session.OtherHolds(0))
         if serves:
             self.tell(session.Succeeded(False))
 
-    @staticmethod
-    async def _tell_held(sock: trio.socket.SocketType) -> None:
+    async def _tell_held(self, sock: trio.socket.SocketType) -> None:
         while True:
-            handover.say(sock, handover.HELD, handover.descriptors())
+            handover.say(sock, handover.HELD, handover.descriptors(), len(self.core.calls))
             await trio.sleep(HELD_PAUSE_S)
 
     # --- callers ---
--- a/latchturn/session.py
+++ b/latchturn/session.py
@@ -241,9 +241,26 @@
 
 @dataclass(slots=True, frozen=True)
 class OtherHolds:
-    """How many descriptors the process before or after this one holds."""
+    """How many descriptors and calls the process before or after this one holds."""
 
     descriptors: int
+    calls: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Bequeathed:
+    """A call that stood at an exchange in the process before this one, which ends."""
+
+    call: int
+    exchange: int
+
+
+@dataclass(slots=True, frozen=True)
+class PassedOn:
+    """A caller has told the other process that a call is over which may be one of this one's."""
+
+    call: int
+    cause: int
 
 
 @dataclass(slots=True, frozen=True)
@@ -261,7 +278,7 @@
 Input = (
     Started | Reconfigured | Accepted | Heard | HalfRead | Garbled | Ended | Closed | Connected
     | ConnectFailed | Wrote | ListTold | ChannelLost | Tick | Operation | Listening | ConfigTurnedDown
-    | Succeeded | OtherHolds | Terminate
+    | Succeeded | OtherHolds | Bequeathed | PassedOn | Terminate
 )  # fmt: skip
 
 
@@ -311,6 +328,21 @@
     on: bool
 
 
+@dataclass(slots=True, frozen=True)
+class Bequeath:
+    """Tell the successor of calls that stand, each with its exchange: this process ends."""
+
+    calls: tuple[tuple[int, int], ...]
+
+
+@dataclass(slots=True, frozen=True)
+class PassOn:
+    """Tell the other process that a call is over."""
+
+    call: int
+    cause: int
+
+
 @dataclass(slots=True, frozen=True)
 class Reply:
     """Answer a visitor at the operators' door, and close."""
@@ -329,7 +361,9 @@
     pass
 
 
-Effect = Connect | Write | Close | CloseIdle | Follow | TakeCallers | Reply | Log | Exit
+Effect = (
+    Connect | Write | Close | CloseIdle | Follow | TakeCallers | Bequeath | PassOn | Reply | Log | Exit
+)  # fmt: skip
 
 
 # --- state ---
@@ -522,6 +556,7 @@
         self._replaces = False  # another process serves until this one is ready
         self._succeeded = False  # a successor serves
         self._other_holds = 0  # descriptors, in the process before or after this one
+        self._other_calls = 0
         self._started_us = 0
         self._drain_us = 0  # since when it drains, else 0
         self._drains = 0  # how often it has begun to
@@ -560,6 +595,9 @@
             self._log("ready: this process takes over")
             self._effects.append(TakeCallers(True))
         if self._term_us and self._finished():
+            if self._succeeded:
+                standing = [(c.ident, c.stands_at) for c in self.calls.values() if c.stands_at is not None]
+                self._effects.append(Bequeath(tuple(standing)))
             self._effects.append(Exit())
         return self._effects
 
@@ -630,9 +668,14 @@
                 self._listening = True
                 if not self._replaces:
                     self._effects.append(TakeCallers(True))
-            case OtherHolds(descriptors):
-                self._other_holds = descriptors
+            case OtherHolds(descriptors, calls):
+                self._other_holds, self._other_calls = descriptors, calls
                 self._make_room()
+            case Bequeathed(call, exchange):
+                self._inherit(call, exchange)
+            case PassedOn(call, cause):
+                if call in self.calls:
+                    self._told_over(self.calls[call], cause)
             case Succeeded(serves):
                 self._hand_over(serves)
             case ConfigTurnedDown(reason):
@@ -751,7 +794,8 @@
         names = [operations.by_class(n, c) for c in self._served for n in operations.BY_CLASS]
         counted = ("forwards", "sighup_applied", "sighup_rejected")
         figures = {name: self.counters[name] for name in (*names, *counted)}
-        figures["outstanding"] = len(self.calls)  # those that stand too: they have not ended
+        # Those that stand too: they have not ended. Two processes are one session controller.
+        figures["outstanding"] = len(self.calls) + self._other_calls
         figures["discovered"] = len(self.exchanges)
         figures["ejected"] = self._controller.avoided(self._now)
         return figures | {name: n for name, n in sorted(self.counters.items()) if name not in figures}
@@ -1166,15 +1210,13 @@
                 self.counters["late_messages"] += 1
                 self._queue(caller, ReleaseHeard(message.call))
                 if message.call not in self._over:
+                    if self._other_calls:
+                        self._effects.append(PassOn(message.call, message.cause))
                     self._fault(caller, "releases of unknown calls")
-            elif call.stands_at is None:
-                self.counters["callers_gave_up"] += 1
-                self._leave(call)
             else:
-                exchange = self.exchanges[call.stands_at]
-                self._end_standing(call, i.Outcome.CANCELLED)
-                self._release_to_exchange(exchange, Release(call.ident, message.cause))
-                self._queue(caller, ReleaseHeard(call.ident))
+                if call.stands_at is not None:
+                    self._queue(caller, ReleaseHeard(call.ident))
+                self._told_over(call, message.cause)
         elif isinstance(message, ReleaseHeard) and caller.unheard.pop(message.call, None) is not None:
             self.counters["releases_heard"] += 1
         elif isinstance(message, Test):
@@ -1186,6 +1228,25 @@
             self.counters["messages_passed_over"] += 1
             self._fault(caller, "messages of no use")
 
+    def _told_over(self, call: Call, cause: int) -> None:
+        """The caller gives a call up, or ends it if it stands."""
+        if call.stands_at is None:
+            self.counters["callers_gave_up"] += 1
+            self._leave(call)
+        else:
+            exchange = self.exchanges[call.stands_at]
+            self._end_standing(call, i.Outcome.CANCELLED)
+            self._release_to_exchange(exchange, Release(call.ident, cause))
+
+    def _inherit(self, ident: int, exchange: int) -> None:
+        """Enter a call that stood in the process before this one. The module does not know it: the told free
+        circuits are without its own."""
+        if exchange in self.exchanges and ident not in self.calls and ident not in self._over:
+            self.counters["calls_inherited"] += 1
+            call = self.calls[ident] = Call(SetUp(ident, "", 0, "", b""), 0, self._now)
+            call.stands_at, call.stood_us = exchange, self._now
+            self.exchanges[exchange].standing.add(ident)
+
     def _release_to_caller(self, preferred: int, release: Release) -> None:
         """Send the release of a call that stood on the best connection, or keep it for the next one.
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -182,6 +182,7 @@
         self.follows: list[s.Follow] = []
         self.closed: list[int] = []
         self.replies: list[str] = []
+        self.bequeathed: tuple[tuple[int, int], ...] = ()
         self.taking: list[bool] = []  # whether callers are taken, as that changed
         self.ended = False
         update = p.ListUpdate(1, i.ListKind.FULL, tuple(listed(k) for k in range(far + 1)))
@@ -214,6 +215,8 @@
             elif isinstance(effect, s.CloseIdle):
                 self.do(s.Closed(effect.stream))
                 self.closed.append(effect.stream)
+            elif isinstance(effect, s.Bequeath):
+                self.bequeathed = effect.calls
             elif isinstance(effect, s.TakeCallers):
                 self.taking.append(effect.on)
             elif isinstance(effect, s.Reply):
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -113,6 +113,50 @@
         self.assertEqual(desk.closed, [1, 2])
 
 
+class Calls(unittest.TestCase):
+    """What stands in the old process when it ends is the new one's."""
+
+    def test_the_old_one_bequeaths_what_stands(self) -> None:
+        desk = Desk()
+        desk.stand(5)
+        desk.do(s.Succeeded(True))
+        desk.do(s.Terminate())
+        desk.pass_time(4 * SECOND)
+        self.assertTrue(desk.ended)
+        self.assertEqual(desk.bequeathed, ((5, 101),))
+
+    def test_the_new_one_counts_them_and_passes_their_ends_on(self) -> None:
+        for by_exchange in (True, False):
+            desk = Desk()
+            desk.stand(6, to=2)
+            desk.do(s.OtherHolds(30, calls=4))
+            self.assertEqual(desk.figure("outstanding"), 5)
+            desk.do(s.Bequeathed(5, 101))
+            desk.do(s.Bequeathed(7, 999))  # an exchange that has gone
+            desk.do(s.OtherHolds(0))
+            self.assertEqual(desk.figure("outstanding"), 2)
+            over = p.Release(5, p.ReleaseCause.NORMAL)
+            if by_exchange:
+                self.assertIn((1, over), desk.hear(desk.link[1], over))
+            else:
+                written = desk.hear(1, over)
+                self.assertIn((1, p.ReleaseHeard(5)), written)
+                self.assertIn((desk.link[1], over), written)
+            self.assertEqual(desk.figure("outstanding"), 1)
+            self.assertNotIn("errors", desk.session.figures())
+
+    def test_a_callers_release_of_the_others_call_is_passed_on(self) -> None:
+        desk = Desk()
+        over = p.Release(5, p.ReleaseCause.NORMAL)
+        desk.do(s.OtherHolds(30, calls=1))
+        effects = desk.session.step(desk.now, s.Heard(1, over))
+        self.assertIn(s.PassOn(5, over.cause), effects)
+        desk.stand(8)
+        written = desk.do(s.PassedOn(8, over.cause))
+        self.assertIn((desk.link[1], p.Release(8, over.cause)), written)
+        self.assertEqual(desk.do(s.PassedOn(9, over.cause)), [])
+
+
 class Folder(unittest.TestCase):
     """Whatever lies in $TMPDIR, a process starts at once, and is found there afterwards."""
 
@@ -206,6 +250,8 @@
             self.assertEqual(caller.next(), p.Answer(1, b"from before"))
             self.assertIsNone(caller.next())
             self.assertEqual(old.wait(10), 0)
+            while "edge_gw.outstanding:2|g" not in program.ask("INFO"):
+                pass
             # What stood in the old process ends on a link of the new one.
             program.links[1].send(p.Release(1, p.ReleaseCause.NORMAL))
             self.assertEqual(newer.next(), p.Release(1, p.ReleaseCause.NORMAL))
