Do not end the calls of a draining exchange because it refuses links

At fault: _connect_failed took the refusal for a death; one that drains takes no links while its calls go on. They are over when the list says gone. Ruled out: passed-on releases (none in the counters), restarts of the exchange.

--- a/latchturn/session.py
+++ b/latchturn/session.py
@@ -1434,7 +1434,8 @@
         self._lose_link(link)
         exchange.down_us = exchange.down_us or self._now  # others may be open, and silent
         idle = [other for other in exchange.links.values() if other.up]
-        if refused and (exchange.broke or not idle):
+        ready = exchange.state is i.ListState.READY  # one that drains takes no links, and its calls go on
+        if refused and ready and (exchange.broke or not idle):
             # A link broke and nothing listens: the process has died, and its calls with it. Guards against
             # waiting for links on which nothing was under way: those of a dead process may stay silent.
             self._cut(exchange, self._now + 1, "refuses connections")
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -278,6 +278,18 @@
         # The exchange tells of it once more when it is back: that is late by then.
         self.assertEqual(desk.hear(desk.link[1], p.Release(5, 41)), [])
 
+    def test_an_exchange_that_drains_may_refuse_links_and_its_calls_go_on(self) -> None:
+        desk = Desk()
+        desk.stand(5)
+        desk.do(s.ListTold(p.ListUpdate(2, i.ListKind.CHANGES, (listed(1, state=i.ListState.DRAINING),))))
+        for stream in (desk.link[1], desk.second[1]):
+            desk.do(s.Closed(stream))
+        written = desk.do(s.ConnectFailed(desk.connects[-1].stream, True)) + desk.pass_time(SECOND)
+        self.assertEqual(sent(written, p.Release), [])
+        self.assertIn(5, desk.session.calls)
+        gone = desk.do(s.ListTold(p.ListUpdate(3, i.ListKind.CHANGES, (listed(1, state=i.ListState.GONE),))))
+        self.assertEqual(sent(gone, p.Release), [1])
+
     def test_a_refused_link_beside_one_that_is_up_proves_nothing(self) -> None:
         desk = Desk(far=1)
         desk.stand(4)
