--- a/latchturn/__main__.py
+++ b/latchturn/__main__.py
@@ -8,6 +8,7 @@
 
 import os
 import sys
+from collections.abc import Mapping
 from dataclasses import replace
 
 import trio
@@ -31,6 +32,12 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
+def with_door(config: Config, environ: Mapping[str, str]) -> Config:
+    """The configuration with the operators' door that the environment names, if the file names none."""
+    admin = environ.get("GW_ADMIN_ADDR")
+    return config if config.admin or not admin else replace(config, admin=parse_address(admin))
+
+
 def main() -> int:
     """Run one session controller until it is told to end."""
     path = os.environ.get("GW_CONFIG", "")
@@ -38,8 +45,7 @@
         if not path:
             raise ConfigError("GW_CONFIG names no file")
         config, settings = read(path)
-        if config.admin is None and (admin := os.environ.get("GW_ADMIN_ADDR")):
-            config = replace(config, admin=parse_address(admin))
+        config = with_door(config, os.environ)
         core = Session(settings, config.seed, config.sockets)
     except (ConfigError, ValueError) as error:
         print(f"latchturn: {error}", file=sys.stderr)
--- a/latchturn/net.py
+++ b/latchturn/net.py
@@ -136,7 +136,10 @@
         with contextlib.ExitStack() as sockets:
             door = None
             if config.admin is not None:
-                door = sockets.enter_context(await self._listen(config.admin, DOOR_BACKLOG))
+                try:
+                    door = sockets.enter_context(await self._listen(config.admin, DOOR_BACKLOG))
+                except OSError as error:  # callers are not to suffer for it
+                    log(f"no door for operators at {config.admin[0]}:{config.admin[1]}: {error}")
             inherited = await handover.inherit(self._path, config.listen)
             if inherited is not None:
                 self._listener, self._predecessor = inherited
--- a/latchturn/session.py
+++ b/latchturn/session.py
@@ -590,7 +590,7 @@
         self._guarded(lambda: self._take(happened), call)
         self._run_timers()
         self._settle()
-        if self._replaces and self._is_ready():
+        if self._replaces and not self._term_us and self._is_ready():
             self._replaces = False
             self._log("ready: this process takes over")
             self._effects.append(TakeCallers(True))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -276,13 +276,13 @@
 class Program:
     """The program as a process, among exchanges 0 to `far` and a command channel of the test's."""
 
-    def __init__(self, far: int = 2, command: str | None = None) -> None:
+    def __init__(self, far: int = 2, command: str | None = None, door: int = 0) -> None:
         self.listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(far + 1)]
         self.channel = socket.create_server(("127.0.0.1", 0))
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.port = free.getsockname()[1]
         with socket.create_server(("127.0.0.1", 0)) as free:
-            self.door = free.getsockname()[1]
+            self.door = door or free.getsockname()[1]
         for listener in (*self.listeners, self.channel):
             listener.settimeout(10)
         endpoints = [
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -100,6 +100,11 @@
         self.assertIn(s.TakeCallers(True), new.step(ready.now, s.Tick()))
         self.assertNotIn(s.TakeCallers(True), new.step(ready.now, s.Tick()))
 
+    def test_one_that_is_told_to_end_before_it_is_ready_takes_none(self) -> None:
+        new = s.Session(Desk().session.settings, 7, 1024)
+        for happened in (s.Started((), 1, ("127.0.0.1", 9), True), s.Terminate(), s.Listening()):
+            self.assertNotIn(s.TakeCallers(True), new.step(SECOND, happened))
+
     def test_what_the_other_process_holds_comes_off_the_budget(self) -> None:
         desk = Desk(far=2, sockets=200)
         for stream in (2, 3):
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -4,10 +4,12 @@
 
 import socket
 import unittest
+from dataclasses import replace
 
 from latchturn import operations as o
 from latchturn import protocol as p
 from latchturn import session as s
+from latchturn.__main__ import with_door
 from latchturn.net import unread
 
 from .helpers import SECOND, Desk, Program, set_up
@@ -187,6 +189,28 @@
 
 
 class Door(unittest.TestCase):
+    def test_its_address_is_in_the_file_or_the_environment_or_there_is_none(self) -> None:
+        bare = p.Config("n0", ("127.0.0.1", 1), 1, 384, ("127.0.0.1", 2), 0, (), "")
+        named = replace(bare, admin=("127.0.0.1", 3))
+        cases = (
+            (bare, {}, None),
+            (bare, {"GW_ADMIN_ADDR": "127.0.0.1:4"}, ("127.0.0.1", 4)),
+            (named, {"GW_ADMIN_ADDR": "127.0.0.1:4"}, ("127.0.0.1", 3)),
+        )
+        for config, environ, address in cases:
+            self.assertEqual(with_door(config, environ).admin, address)
+        with self.assertRaises(ValueError):
+            with_door(bare, {"GW_ADMIN_ADDR": "nowhere"})
+
+    def test_callers_are_served_where_its_address_is_taken(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            port = taken.getsockname()[1]
+            with Program(door=port) as program:
+                self.assertIn("no door for operators", program.process.stderr.readline())
+                caller = program.caller()
+                caller.send(set_up(1))
+                self.assertEqual(program.links[1].next().call, 1)
+
     def test_every_line_is_answered_beside_those_who_dawdle(self) -> None:
         with Program() as program:
             dawdlers = [socket.create_connection(("127.0.0.1", program.door), 10) for _ in range(20)]
