Bound how long a draining exchange that refuses links keeps its calls

By reading: where another exchange answers at a draining one's address, down_us is reset and only the list ends the calls since the last change; now 3 s after the refusal does.

--- a/latchturn/session.py
+++ b/latchturn/session.py
@@ -48,6 +48,9 @@
 STUCK_US = 2 * SECOND  # a write that takes longer has a vanished peer
 GIVE_UP_STUCK_US = 50_000  # a give-up that has not left by then takes its link along
 SILENT_US = 6 * SECOND  # no link comes up for so long: the exchange's standing calls are over
+# An exchange that drains and has refused links so long ago has ended its calls. Guards against another that
+# answers at its address by then.
+DRAINED_US = 3 * SECOND
 SWEEP_US = SECOND // 4
 FORGET_US = 10 * SECOND  # ids of ended calls are kept so long, to know late messages
 MAX_OUTBOX = 2000  # messages
@@ -493,6 +496,7 @@
     failures: int = 0  # connections in a row that came to nothing
     retry_us: int = 0
     down_us: int = 0  # since when no link is up or comes up and nothing is heard, else 0
+    refused_us: int = 0  # since when it has refused links while it drains, else 0
     broke: bool = False  # the peer ended the first link, and none has come up since
     standing: set[int] = field(default_factory=set)
     told: deque[Told] = field(default_factory=deque)  # group states lately
@@ -565,6 +569,7 @@
         self._term_us = 0  # when SIGTERM came
         self._term_last_us = 0  # when all that is open then is answered
         self._answer_all = False
+        self._exited = False
 
     def _use(self, settings: i.Settings, before: i.Settings | None) -> None:
         """Let settings count, and for as long as their callers may go on trying, the classes before too."""
@@ -594,7 +599,8 @@
             self._replaces = False
             self._log("ready: this process takes over")
             self._effects.append(TakeCallers(True))
-        if self._term_us and self._finished():
+        if self._term_us and not self._exited and self._finished():
+            self._exited = True
             if self._succeeded:
                 standing = [(c.ident, c.stands_at) for c in self.calls.values() if c.stands_at is not None]
                 self._effects.append(Bequeath(tuple(standing)))
@@ -1367,6 +1373,8 @@
             if entry.started_us > known.started_us:
                 self._cut(known, entry.started_us, "has started anew")
             known.state, known.started_us = entry.state, entry.started_us
+            if entry.state is i.ListState.READY:
+                known.refused_us = 0
             if listed.address != known.address:
                 known.address = listed.address
                 for link in list(known.links.values()):
@@ -1434,8 +1442,11 @@
         self._lose_link(link)
         exchange.down_us = exchange.down_us or self._now  # others may be open, and silent
         idle = [other for other in exchange.links.values() if other.up]
-        ready = exchange.state is i.ListState.READY  # one that drains takes no links, and its calls go on
-        if refused and ready and (exchange.broke or not idle):
+        dead = refused and (exchange.broke or not idle)
+        if dead and exchange.state is not i.ListState.READY:
+            # One that drains takes no links, and its calls go on, but not for long.
+            exchange.refused_us = exchange.refused_us or self._now
+        elif dead:
             # A link broke and nothing listens: the process has died, and its calls with it. Guards against
             # waiting for links on which nothing was under way: those of a dead process may stay silent.
             self._cut(exchange, self._now + 1, "refuses connections")
@@ -1691,6 +1702,8 @@
             exchange.unsent = [kept for kept in exchange.unsent if kept[0] > self._now]
             if exchange.standing and exchange.down_us and self._now - exchange.down_us > SILENT_US:
                 self._cut(exchange, self._now + 1, "cannot be reached")
+            if exchange.standing and exchange.refused_us and self._now - exchange.refused_us > DRAINED_US:
+                self._cut(exchange, self._now + 1, "has drained and refused links")
         while self._over and (first := next(iter(self._over.items())))[1].until_us <= self._now:
             del self._over[first[0]]
 
