Trace every close, retry, refusal and change of state with its ids and reason

A cut names its calls and the age of the last message. The module gives its reason with each refusal. Three tests read the log's next line as the expected one; they now read on to it, which is as strict since they fail when it does not come within 10 s.

--- a/latchturn/brain.py
+++ b/latchturn/brain.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from . import interface as i
+from .interface import FinalReason as Reason
 
 DIRECT, TWO_LEG = 0, 1  # classes of the ledger
 NEVER_RAN = (i.Outcome.TURNED_AWAY, i.Outcome.NOT_SENT, i.Outcome.UNREACHABLE)
@@ -284,14 +285,14 @@
 
     def _offered(self, offer: i.CallOffered) -> None:
         if not 0 <= offer.class_index < len(self.settings.classes):
-            self.actions.append(i.Refuse(offer.call, 0))
+            self.actions.append(i.Refuse(offer.call, 0, Reason.CLASS_UNKNOWN))
             return
         if offer.call in self.calls:
             return
         cls = self.settings.classes[offer.class_index]
         call = Call(offer, cls, self._first_try(offer), self.settings.max_attempts)
         if offer.destination == self.settings.own_number and not self.pools:
-            self.actions.append(i.Refuse(offer.call, 0))
+            self.actions.append(i.Refuse(offer.call, 0, Reason.OWN_EXCHANGE))
             return
         self.calls[offer.call] = call
         if not offer.transit and call.first_us == self.now:
@@ -300,10 +301,12 @@
             self.offers += fade * (1e6 / gap - self.offers)
             self.offers_us = self.now
         if self._number_busy(offer.called):
-            self._refuse(call, self.settings.max_stay_away_us)
+            self._refuse(call, self.settings.max_stay_away_us, Reason.NUMBER_BUSY)
         elif not self._route(call):
-            if offer.transit or self._late(call):
-                self._refuse(call, 0 if offer.transit else self._stay_away(call))
+            if offer.transit:
+                self._refuse(call, 0, Reason.NO_TRANSIT_ROUTE)
+            elif self._late(call):
+                self._refuse(call, self._stay_away(call), Reason.PAST_AIM)
             else:
                 self._wait(call)
 
@@ -415,8 +418,8 @@
         aim_near = call.first_us + int(call.cls.aim_us * WAIT_SHARE)
         least = max(int(ANSWER_MARGIN * self.aim_us), int(LEAST_TIME * self.usual_us))
         call.until = min(aim_near, call.offer.deadline_us - least)
-        if self._given_up(call):
-            self._refuse(call, self._stay_away(call))
+        if reason := self._given_up(call):
+            self._refuse(call, self._stay_away(call), reason)
             return
         call.waiting = True
         self.lines.setdefault(call.offer.destination, []).append(call)
@@ -425,16 +428,22 @@
         if self.now < opens:
             self._set_timer(opens - self.now, call.offer.call)
 
-    def _given_up(self, call: Call) -> bool:
-        """Whether a call in line can be sent no more.
+    def _given_up(self, call: Call) -> Reason | None:
+        """Why a call in line can be sent no more, None if it still can.
 
         Guards against a caller kept in line for nothing: its final answer is due at once, be the line's
         end ever so far.
         """
         target = self.by_number.get(call.offer.destination)
-        if target is None or not target.ready or self._used_up(call):
-            return True
-        return self._hopeless(call) or max(self.now, self._opens(call)) >= call.until
+        if target is None or not target.ready:
+            return Reason.DESTINATION_NOT_READY
+        if self._used_up(call):
+            return Reason.ATTEMPTS_USED
+        if self._hopeless(call):
+            return Reason.TOO_LITTLE_TIME
+        if self.now >= call.until:
+            return Reason.WAITED_OUT
+        return Reason.OPENS_TOO_LATE if self._opens(call) >= call.until else None
 
     def _opens(self, call: Call) -> int:
         """The first moment at which a call may be sent, as far as that is known now."""
@@ -483,16 +492,17 @@
             return
         blocked = False
         for call in sorted(line, key=lambda c: (-c.worth, c.first_us, c.offer.call)):
-            if self._given_up(call):
-                self._refuse(call, self._stay_away(call))
+            if reason := self._given_up(call):
+                self._refuse(call, self._stay_away(call), reason)
             elif not blocked and not self._route(call) and self.now >= call.not_before:
                 blocked = True
 
-    def _refuse(self, call: Call, stay_away: int) -> None:
+    def _refuse(self, call: Call, stay_away: int, reason: Reason) -> None:
         if call.waiting:
             self._leave_line(call)
         self._failed(call)
-        self.actions.append(i.Refuse(call.offer.call, min(stay_away, self.settings.max_stay_away_us)))
+        stay_away = min(stay_away, self.settings.max_stay_away_us)
+        self.actions.append(i.Refuse(call.offer.call, stay_away, reason))
 
     def _stands(self, event: i.CallStands) -> None:
         call = self.calls.get(event.call)
@@ -555,15 +565,17 @@
         elif call.cls.once and outcome not in NEVER_RAN:
             # Guards against effects that come twice: its caller would try a refused call again.
             self._failed(call)
-            self.actions.append(i.GiveUp(event.call))
-        elif cause is i.Cause.NUMBER_BUSY or call.offer.transit:
-            self._refuse(call, self.settings.max_stay_away_us if cause is i.Cause.NUMBER_BUSY else 0)
+            self.actions.append(i.GiveUp(event.call, Reason.MAY_HAVE_RUN))
+        elif cause is i.Cause.NUMBER_BUSY:
+            self._refuse(call, self.settings.max_stay_away_us, Reason.NUMBER_BUSY)
+        elif call.offer.transit:
+            self._refuse(call, 0, Reason.TRANSIT_ATTEMPT_ENDED)
         elif outcome is i.Outcome.NOT_SENT and cause is i.Cause.PROCESSOR_FULL:
             # Guards against spending all attempts at once while the own processor is out of service.
-            self._refuse(call, self.settings.max_stay_away_us)
+            self._refuse(call, self.settings.max_stay_away_us, Reason.OWN_PROCESSOR_FULL)
         elif self._hopeless(call):
             self._failed(call)
-            self.actions.append(i.GiveUp(event.call))
+            self.actions.append(i.GiveUp(event.call, Reason.TOO_LITTLE_TIME))
         elif call.not_before > self.now or not self._route(call):
             self._wait(call)
         self._serve(at.number)
@@ -638,8 +650,8 @@
         call = self.calls.get(ident)
         if call is None or not call.waiting or self._route(call):
             return
-        if self._given_up(call):
-            self._refuse(call, self._stay_away(call))
+        if reason := self._given_up(call):
+            self._refuse(call, self._stay_away(call), reason)
 
     def _set_timer(self, delay: int, ident: int) -> None:
         token = self.next_token
--- a/latchturn/checking/states.py
+++ b/latchturn/checking/states.py
@@ -2,7 +2,8 @@
 
 A snapshot is a pickle in which settings stand by reference. A fingerprint is BLAKE2b over a walk of all that a state
 holds; moments are told relative to now, objects that are met again by the order of their first meeting. Left out is
-what nothing reads: counters, effects, the random generator, the number of timers set, timers that can do nothing.
+what nothing reads: counters, effects, the trace, the random generator, the
+number of timers set, timers that can do nothing.
 """
 
 from __future__ import annotations
@@ -70,7 +71,7 @@
 # --- fingerprints ---
 
 _LEFT_OUT: dict[type, frozenset[str]] = {
-    Core: frozenset(("counters", "effects", "random", "now")),
+    Core: frozenset(("counters", "effects", "random", "now", "trace")),
     Controller: frozenset(
         (
             "settings",
--- a/latchturn/interface.py
+++ b/latchturn/interface.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from enum import IntEnum
+from enum import Enum, IntEnum
 
 
 class Shape(IntEnum):
@@ -216,12 +216,32 @@
     timeout_us: int
 
 
+class FinalReason(Enum):
+    """Why a call was refused or failed, for the trace; nothing is decided by it."""
+
+    UNKNOWN = "unknown"
+    CLASS_UNKNOWN = "its class is not in the settings"
+    OWN_EXCHANGE = "its destination is the own exchange"
+    NUMBER_BUSY = "all lines of the number are busy"
+    DESTINATION_NOT_READY = "its destination is not in the list as ready"
+    ATTEMPTS_USED = "its attempts are used up"
+    PAST_AIM = "its caller tried first too long ago to be put in line"
+    NO_TRANSIT_ROUTE = "in transit, and no route now"
+    TRANSIT_ATTEMPT_ENDED = "in transit, and its attempt came to nothing"
+    OWN_PROCESSOR_FULL = "the own processor is full"
+    WAITED_OUT = "its time in line is over"
+    OPENS_TOO_LATE = "no route opens in time"
+    TOO_LITTLE_TIME = "too little time is left for an attempt"
+    MAY_HAVE_RUN = "an attempt may have run, and its class may not be repeated"
+
+
 @dataclass(slots=True)
 class Refuse:
     """Action: final answer, turned away (or transit turned back)."""
 
     call: int
     stay_away_us: int
+    reason: FinalReason = field(default=FinalReason.UNKNOWN, compare=False)
 
 
 @dataclass(slots=True)
@@ -229,6 +249,7 @@
     """Action: final answer, failed."""
 
     call: int
+    reason: FinalReason = field(default=FinalReason.UNKNOWN, compare=False)
 
 
 @dataclass(slots=True)
--- a/latchturn/net.py
+++ b/latchturn/net.py
@@ -465,7 +465,7 @@
         with trio.open_signal_receiver(*numbers) as received:
             async for number in received:
                 if number == signal.SIGUSR1:
-                    log(self.counters_line(), always=True)
+                    log("\n".join((self.counters_line(), *self.core.trace_lines())), always=True)
                 elif number == signal.SIGHUP:
                     self._reconfigure()
                 else:
--- a/latchturn/session/attempts.py
+++ b/latchturn/session/attempts.py
@@ -9,6 +9,7 @@
 from .part import Part
 from .state import Attempt, Call, Exchange, GiveUpDue
 from .timers import TimerKind
+from .trace import TraceEvent
 
 
 class Attempts(Part):
@@ -75,6 +76,10 @@
         call = attempt.call
         self.give_back(attempt)
         self.core.counters[f"attempts_{outcome.name.lower()}"] += 1
+        self.core.note(
+            TraceEvent.ATTEMPT_ENDED, call=call.ident, exchange=attempt.link.exchange,
+            stream=attempt.link.ident, reason=outcome.name,
+        )  # fmt: skip
         self.core.events.append(
             i.AttemptEnded(
                 call.ident, attempt.number, attempt.link.exchange, outcome,
@@ -99,6 +104,9 @@
             return None
         attempt.state = ATTEMPT.go(attempt.state, AttemptMove.LEAVE)
         attempt.sent_us = self.core.now
+        self.core.note(
+            TraceEvent.ATTEMPT_SENT, call=call.ident, exchange=attempt.link.exchange, stream=attempt.link.ident
+        )
         wait_ms = max(1, (attempt.due_us - self.core.now) // 1000)
         old = call.set_up
         return SetUp(old.call, old.class_name, wait_ms, old.called, old.description)
--- a/latchturn/session/callers.py
+++ b/latchturn/session/callers.py
@@ -24,6 +24,7 @@
 from .part import Part
 from .phases import Phase
 from .state import Caller
+from .trace import CloseReason, TraceEvent
 from .words import Close, PassOn
 
 
@@ -47,7 +48,7 @@
             self.core.counters["set_ups_repeated"] += 1
             if known is None or known.caller == caller.ident:
                 if known is not None and known.stands_at is None:
-                    self.calls.fail(known)
+                    self.calls.fail(known, "its id is used again on its connection")
                 self.fault(caller, "id used again")
             else:
                 self.shut(caller, f"id {message.call:016x} is another caller's")
@@ -55,18 +56,23 @@
         reason = message.reason if isinstance(message, Unusable) else self.classes.unusable(message)
         if reason or isinstance(message, Unusable):
             self.core.counters["set_ups_unusable"] += 1
+            self.core.note(TraceEvent.CALL_FAILED, call=message.call, stream=caller.ident, reason=reason)
             self.calls.remember_answered(message.call)
             self.writing.queue(caller, Release(message.call, ReleaseCause.INVALID_CONTENTS))
             self.fault(caller, f"set-ups that cannot be used, the last for its {reason}")
         elif len(caller.owed) >= OPEN_MOST or len(self.calls.by_id) >= CALLS_MOST or self.phases.answer_all:
             # Guards the others' calls and the memory against a flood.
             self.core.counters["set_ups_over_budget"] += 1
+            self.core.note(
+                TraceEvent.CALL_REFUSED, call=message.call, stream=caller.ident, reason="over budget or ending"
+            )
             self.classes.count("declined", message.class_name)
             self.calls.remember_answered(message.call)
             stay_ms = self.classes.settings.max_stay_away_us // 1000
             self.writing.queue(caller, Release(message.call, ReleaseCause.CONGESTION, stay_away_ms=stay_ms))
         elif self.core.now >= self.phases.refuse_us:
             # Guards the drain's end against a connection that is never idle.
+            self.core.note(TraceEvent.CALL_REFUSED, call=message.call, stream=caller.ident, reason="draining")
             self.calls.remember_answered(message.call)
             self.classes.count("declined", message.class_name)
             self.writing.queue(
@@ -88,7 +94,7 @@
         self.core.log(f"caller {caller.ident} closed: {why}")
         caller.move(StreamMove.FINISH)
         for ident in sorted(caller.owed):
-            self.calls.fail(self.calls.by_id[ident])
+            self.calls.fail(self.calls.by_id[ident], why)
         self.close_if_finished(caller)
 
     def accepted(self, stream: int) -> None:
@@ -100,7 +106,7 @@
             if least is None:
                 self.core.effects.append(Close(stream))
                 return
-            self.writing.drop(least)
+            self.writing.drop(least, CloseReason.NO_DESCRIPTORS)
         caller = Caller(stream, StreamState.UP, True, accepted_us=self.core.now, active_us=self.core.now)
         self.by_stream[stream] = self.strangers[stream] = caller
 
@@ -130,7 +136,7 @@
         """The other process holds more now: what fits no more goes."""
         while len(self.by_stream) > self.most() and (least := self.least()) is not None:
             self.core.counters["callers_over_budget"] += 1
-            self.writing.drop(least)
+            self.writing.drop(least, CloseReason.NO_DESCRIPTORS)
 
     def half_read(self, caller: Caller, half: bool) -> None:
         """Its input ends within a message, or does so no more."""
@@ -188,8 +194,10 @@
         if caller is None or caller.finishing:
             caller = self.best()
         if caller is None or not caller.trust:
+            self.core.note(TraceEvent.RELEASE_HELD, call=release.call)
             self.unsent.append((self.core.now + STANDING_RELEASE_US, release))
         else:
+            self.core.note(TraceEvent.RELEASE_SENT, call=release.call, stream=caller.ident)
             self.writing.queue(caller, release)
 
     def send_again(self, caller: Caller) -> None:
@@ -229,4 +237,4 @@
 
     def close_if_finished(self, caller: Caller) -> None:
         if caller.finishing and caller.idle:
-            self.writing.drop(caller)
+            self.writing.drop(caller, CloseReason.FINISHED)
--- a/latchturn/session/calls.py
+++ b/latchturn/session/calls.py
@@ -4,11 +4,12 @@
 
 from .. import interface as i
 from ..protocol import Answer, Release, ReleaseCause, SetUp, settings_word
-from .limits import DEADLINE_MARGIN_US, FORGET_US, OVER_MOST, OVERDUE_US
+from .limits import CUT_CALLS_LOGGED, DEADLINE_MARGIN_US, FORGET_US, OVER_MOST, OVERDUE_US
 from .machines import CALL, CallMove
 from .part import Part
 from .state import Call, Caller, Exchange, Over
 from .timers import TimerKind
+from .trace import TraceEvent
 
 
 class Calls(Part):
@@ -28,6 +29,7 @@
         deadline = max(deadline, self.core.now)
         call = self.by_id[set_up.call] = Call(set_up, caller.ident, deadline)
         caller.owed.add(set_up.call)
+        self.core.note(TraceEvent.CALL_TAKEN, call=set_up.call, stream=caller.ident)
         self.over.pop(set_up.call, None)
         call.timer = self.timers.set(deadline + OVERDUE_US - self.core.now, TimerKind.DEADLINE, call)
         figures = set_up.figures
@@ -62,8 +64,9 @@
             self.forget(call, answered=True)
         self.writing.queue(caller, message)
 
-    def fail(self, call: Call) -> None:
+    def fail(self, call: Call, why: str) -> None:
         """Fail a call over the module's head, cleanly towards all sides."""
+        self.core.note(TraceEvent.CALL_FAILED, call=call.ident, stream=call.caller, reason=why)
         self.final(call.ident, Release(call.ident, ReleaseCause.TEMPORARY_FAILURE))
         self.leave(call)
 
@@ -109,6 +112,7 @@
         self.exchanges.by_id[at].standing.discard(call.ident)
         self.forget(call)
         self.core.counters[f"calls_{outcome.name.lower()}"] += 1
+        self.core.note(TraceEvent.CALL_ENDED, call=call.ident, exchange=at, reason=outcome.name)
         self.core.events.append(
             i.AttemptEnded(
                 call.ident, call.attempts - 1, at, outcome, self.core.now - call.stood_us, True, report=report
@@ -119,15 +123,23 @@
         """The calls that stood at an exchange before a moment are over, though it cannot say so."""
         cut = [self.by_id[k] for k in sorted(exchange.standing) if self.by_id[k].stood_us < before_us]
         if cut:
-            self.core.log(f"exchange {exchange.number} {why}: {len(cut)} standing calls are over")
+            self.note_cut(exchange, cut, why)
         for call in cut:
             self.end_standing(call, i.Outcome.CUT)
             self.callers.release(call.caller, Release(call.ident, ReleaseCause.TEMPORARY_FAILURE))
 
+    def note_cut(self, exchange: Exchange, cut: list[Call], why: str) -> None:
+        """Record which calls are over with their exchange; the log names the first of them."""
+        shown = " ".join(f"{call.ident:016x}" for call in cut[:CUT_CALLS_LOGGED])
+        quiet_ms = (self.core.now - exchange.heard_us) // 1000
+        text = f"{why}, last heard {quiet_ms} ms ago: {len(cut)} standing calls are over: {shown}"
+        self.core.note(TraceEvent.EXCHANGE_DEAD, exchange=exchange.ident, reason=text)
+
     def told_over(self, call: Call, cause: int) -> None:
         """The caller gives a call up, or ends it if it stands."""
         if call.stands_at is None:
             self.core.counters["callers_gave_up"] += 1
+            self.core.note(TraceEvent.CALL_ABANDONED, call=call.ident, stream=call.caller)
             self.leave(call)
         else:
             exchange = self.exchanges.by_id[call.stands_at]
--- a/latchturn/session/core.py
+++ b/latchturn/session/core.py
@@ -1,4 +1,4 @@
-"""What all parts share: the moment, the effects asked for, the events for the module, the counters."""
+"""What all parts share: the moment, the effects asked for, the events for the module, the counters, the trace."""
 
 from __future__ import annotations
 
@@ -6,11 +6,12 @@
 from collections import Counter, deque
 
 from .. import interface as i
+from .trace import LOGGED, Trace, TraceEvent, TraceRecord
 from .words import Effect, Log
 
 
 class Core:
-    """The moment, the effects asked for in this step, the events for the module, and the counters."""
+    """The moment, the effects asked for in this step, the events for the module, counters and trace."""
 
     def __init__(self, seed: int, sockets: int) -> None:
         self.now = 0
@@ -19,6 +20,16 @@
         self.events: deque[i.Event] = deque()  # on their way to the module
         self.counters: Counter[str] = Counter()
         self.random = random.Random(seed)
+        self.trace = Trace()
 
     def log(self, text: str) -> None:
         self.effects.append(Log(text))
+
+    def note(
+        self, event: TraceEvent, *, call: int = 0, exchange: int = 0, stream: int = 0, reason: str = ""
+    ) -> None:
+        """Record a state change; those that are few are log lines too."""
+        record = TraceRecord(self.now, event, call, exchange, stream, reason)
+        self.trace.records.append(record)
+        if event in LOGGED:
+            self.effects.append(Log(record.text()))
--- a/latchturn/session/exchanges.py
+++ b/latchturn/session/exchanges.py
@@ -22,6 +22,7 @@
 from .machines import CALL, AttemptState, CallMove
 from .part import Part
 from .state import Attempt, Exchange, Link, Told
+from .trace import CloseReason, TraceEvent
 
 NOTES = {
     "no_circuit": i.Cause.NO_CIRCUIT,
@@ -65,9 +66,11 @@
                         other.state = i.ListState.GONE
                         told.append(i.ListEntry(other.ident, other.number, other.state, other.started_us))
                 known = self.by_id[entry.exchange] = Exchange(
-                    entry.exchange, entry.number, entry.state, entry.started_us, listed.address
-                )
+                    entry.exchange, entry.number, entry.state, entry.started_us, listed.address,
+                    heard_us=self.core.now,
+                )  # fmt: skip
             told.append(entry)
+            self.core.note(TraceEvent.EXCHANGE_LISTED, exchange=entry.exchange, reason=entry.state.name)
             if entry.started_us > known.started_us:
                 self.calls.cut(known, entry.started_us, "has started anew")
             known.state, known.started_us = entry.state, entry.started_us
@@ -78,7 +81,7 @@
             if listed.address != known.address:
                 known.address = listed.address
                 for link in list(known.links.values()):
-                    self.writing.drop(link)
+                    self.writing.drop(link, CloseReason.ADDRESS_CHANGED)
         if update.kind is i.ListKind.FULL:
             for known in self.by_id.values():
                 if known.ident not in named:
@@ -89,7 +92,7 @@
             if exchange.state is i.ListState.GONE:
                 self.calls.cut(exchange, self.core.now + 1, "is gone")
                 for link in list(exchange.links.values()):
-                    self.writing.drop(link)
+                    self.writing.drop(link, CloseReason.EXCHANGE_GONE)
                 # Guards the memory and the descriptors kept for exchanges: on long days they come and go.
                 del self.by_id[exchange.ident]
             else:
@@ -122,7 +125,7 @@
 
     def heard(self, link: Link, message: Message) -> None:
         exchange = self.by_id[link.exchange]
-        exchange.failures, exchange.down_us = 0, 0
+        exchange.failures, exchange.down_us, exchange.heard_us = 0, 0, self.core.now
         link.half_us = link.half_us and self.core.now
         link.heard_us, link.missed_us, link.mute = self.core.now, 0, 0
         call = self.calls.by_id.get(message.call)
@@ -147,8 +150,7 @@
         elif not isinstance(message, Progress):
             # No exchange sends it: a message came spoilt, and what is behind it is lost.
             self.core.counters["garbled"] += 1
-            self.core.log(f"link {link.ident} closed: it sent {type(message).__name__}")
-            self.writing.peer_done(link.ident)
+            self.writing.peer_done(link.ident, CloseReason.GARBLED)
 
     def is_copy(self, exchange: Exchange, link: Link, figures: Mapping[str, float]) -> bool:
         """Whether a group state has been heard on another link already: it comes on each that is open.
@@ -184,6 +186,7 @@
         call = attempt.call
         self.attempts.give_back(attempt)
         self.core.counters["attempts_answered"] += 1
+        self.core.note(TraceEvent.CALL_ANSWERED, call=call.ident, exchange=exchange.ident, stream=call.caller)
         self.calls.final(call.ident, Answer(call.ident, answer.description))
         call.state = CALL.go(call.state, CallMove.ANSWER)
         call.stands_at, call.stood_us = exchange.ident, self.core.now
--- a/latchturn/session/limits.py
+++ b/latchturn/session/limits.py
@@ -50,6 +50,7 @@
 OPEN_MOST = 400  # calls open on one connection
 CALLS_MOST = 4000  # calls open or standing in all
 HOLD_RELEASE_US = SECOND // 2  # a release waits so long for a caller that has set up a call
+CUT_CALLS_LOGGED = 20  # ids of calls named in one line of the log
 NUMBERS = 1 << 16  # of exchanges, far above all that are
 READY_MOST_US = SECOND  # after the start; an exchange that has told nothing by then will not soon
 # A drain. The front hears of it up to 0.1 s late and sends new connections for 0.2 s more. At 4 s no
--- a/latchturn/session/links.py
+++ b/latchturn/session/links.py
@@ -11,6 +11,7 @@
 from .part import Part
 from .state import Exchange, Link
 from .timers import TimerKind
+from .trace import CloseReason, TraceEvent
 from .words import Close, Connect
 
 
@@ -25,8 +26,7 @@
         """Guards against a link that is open and of no further use: what is set up on it comes to nothing,
         and the ends of the calls that stand there are told on the next link that is opened."""
         self.core.counters["links_mute"] += 1
-        self.core.log(f"link {link.ident} closed: it has fallen silent")
-        self.writing.drop(link)
+        self.writing.drop(link, CloseReason.SILENT)
 
     def keep(self, exchange: Exchange) -> None:
         """Have links to every exchange that can be used, one after the other: group states come on open links
@@ -62,7 +62,7 @@
         left = link.half_us + LINK_HALF_READ_US - self.core.now
         if left <= 0:
             self.core.counters["links_half_read"] += 1
-            self.writing.drop(link)
+            self.writing.drop(link, CloseReason.HALF_READ)
         else:
             self.timers.set(left, TimerKind.HALF_READ, link)
 
@@ -72,6 +72,7 @@
             self.core.effects.append(Close(stream))
             return
         link.move(StreamMove.CONNECTED)
+        self.core.note(TraceEvent.LINK_UP, exchange=link.exchange, stream=stream)
         link.up_us = link.heard_us = self.core.now
         exchange = self.exchanges.by_id[link.exchange]
         exchange.down_us, exchange.broke = 0, False
@@ -87,6 +88,9 @@
             return
         self.core.counters["connects_refused" if refused else "connects_timed_out"] += 1
         exchange = self.exchanges.by_id[link.exchange]
+        self.writing.note_closed(
+            link, CloseReason.CONNECT_REFUSED if refused else CloseReason.CONNECT_FAILED
+        )
         self.lose(link)
         exchange.down_us = exchange.down_us or self.core.now  # others may be open, and silent
         idle = [other for other in exchange.links.values() if other.up]
@@ -99,7 +103,7 @@
             # waiting for links on which nothing was under way: those of a dead process may stay silent.
             self.calls.cut(exchange, self.core.now + 1, "refuses connections")
             for other in idle:
-                self.writing.drop(other)
+                self.writing.drop(other, CloseReason.EXCHANGE_DEAD)
 
     def broken(self, link: Link) -> None:
         """The peer ended a link. Those kept are reconnected at once, which tells whether it has died."""
--- a/latchturn/session/module.py
+++ b/latchturn/session/module.py
@@ -7,6 +7,7 @@
 from ..protocol import Release, ReleaseCause
 from .part import Part
 from .timers import TimerKind
+from .trace import TraceEvent
 
 
 class Module(Part):
@@ -20,14 +21,21 @@
             if isinstance(action, i.SendSetup):
                 self.attempts.begin(action)
             elif isinstance(action, i.Refuse):
+                self.note_final(TraceEvent.CALL_REFUSED, action)
                 stay_ms = -(-action.stay_away_us // 1000)
                 self.calls.final(
                     action.call, Release(action.call, ReleaseCause.CONGESTION, stay_away_ms=stay_ms)
                 )
             elif isinstance(action, i.GiveUp):
+                self.note_final(TraceEvent.CALL_FAILED, action)
                 self.calls.final(action.call, Release(action.call, ReleaseCause.TEMPORARY_FAILURE))
             elif isinstance(action, i.SetTimer):
                 self.timers.set(action.delay_us, TimerKind.MODULE, action.token)
             elif isinstance(action, i.Log):
                 self.core.log(action.text)
             # Follow asks for nothing: the command channel is always followed.
+
+    def note_final(self, event: TraceEvent, action: i.Refuse | i.GiveUp) -> None:
+        """Record and count why the module turns a call down."""
+        self.core.counters[f"{event.name.lower()}.{action.reason.name.lower()}"] += 1
+        self.core.note(event, call=action.call, reason=action.reason.value)
--- a/latchturn/session/phases.py
+++ b/latchturn/session/phases.py
@@ -26,6 +26,7 @@
 from .machines import PHASE, PhaseMove, PhaseState
 from .part import Part
 from .timers import TimerKind
+from .trace import CloseReason, TraceEvent
 from .words import Bequeath, CloseIdle, Exit, TakeCallers
 
 
@@ -56,6 +57,14 @@
         self.term_last_us = 0  # when all that is open then is answered
         self.answer_all = False
 
+    def move(self, move: PhaseMove) -> None:
+        """Go on to the next phase; ImpossibleMove if the table has none."""
+        before, self.state = self.state, PHASE.go(self.state, move)
+        open_ = sum(call.stands_at is None for call in self.calls.by_id.values())
+        text = f"{before.name} to {self.state.name} by {move.name}: {len(self.callers.by_stream)} connections"
+        text += f", {open_} calls open, {len(self.calls.by_id) - open_} stand"
+        self.core.note(TraceEvent.PHASE, reason=text)
+
     def finished(self) -> bool:
         """After SIGTERM: whether all that was taken is answered, and nothing new can come in."""
         since = self.core.now - self.term_us
@@ -87,13 +96,13 @@
             if self.phase is Phase.ENDING:
                 return operations.answer(False, self.phase.value)
             if command is operations.Command.REJOIN:
-                self.state = PHASE.go(self.state, PhaseMove.REJOIN)
+                self.move(PhaseMove.REJOIN)
                 self.serve_again()
             elif not self.drain_us:
                 self.core.log(
                     f"draining: {len(self.callers.by_stream)} connections, {len(self.calls.by_id)} calls"
                 )
-                self.state = PHASE.go(self.state, PhaseMove.DRAIN)
+                self.move(PhaseMove.DRAIN)
                 self.drain(self.core.now + DRAIN_REFUSE_US, self.core.now + DRAIN_LAST_US)
             return operations.answer(True, self.phase.value)
         return operations.answer(False, "this can be asked: " + " ".join(c.value for c in operations.Command))
@@ -145,11 +154,12 @@
             may_stay = not self.succeeded and caller.asked_us < late_us
             needs = caller.ident in needed and (patient or may_stay)
             if caller.idle and not caller.finishing and not speaks and not needs:
+                caller.closing = CloseReason.DRAINED
                 self.core.effects.append(CloseIdle(caller.ident))
 
     def hand_over(self, serves: bool) -> None:
         """A successor serves at the address, or does so no more."""
-        self.state = PHASE.go(self.state, PhaseMove.SUCCEED if serves else PhaseMove.RESUME)
+        self.move(PhaseMove.SUCCEED if serves else PhaseMove.RESUME)
         if self.term_us and not serves:
             return
         self.core.effects.append(TakeCallers(not serves))
@@ -171,7 +181,7 @@
 
     def terminate(self) -> None:
         """SIGTERM: say by when all that is open is answered."""
-        self.state = PHASE.go(self.state, PhaseMove.TERMINATE)
+        self.move(PhaseMove.TERMINATE)
         if self.term_us:
             return
         self.term_us = self.core.now
@@ -189,7 +199,7 @@
         if self.core.now >= self.term_last_us and not self.answer_all:
             self.answer_all = True
             for call in [c for c in self.calls.by_id.values() if c.stands_at is None]:
-                self.calls.fail(call)
+                self.calls.fail(call, "the program ends")
 
     def go_on(self) -> None:
         """At the end of each step: take over once ready, end once all is done."""
@@ -201,7 +211,7 @@
             if self.succeeded:
                 standing = [(c.ident, c.stands_at) for c in self.calls.by_id.values()]
                 self.core.effects.append(Bequeath(tuple((k, at) for k, at in standing if at is not None)))
-            self.state = PHASE.go(self.state, PhaseMove.EXIT)
+            self.move(PhaseMove.EXIT)
             self.core.effects.append(Exit())
 
     @property
--- a/latchturn/session/reducer.py
+++ b/latchturn/session/reducer.py
@@ -27,6 +27,7 @@
 from .phases import Phase, Phases
 from .state import Attempt, Call, Exchange, Link
 from .timers import TimerKind, Timers
+from .trace import CloseReason
 from .upkeep import Upkeep
 from .words import (
     Accepted,
@@ -104,7 +105,7 @@
         self._fault(call)
         if call in self.calls.by_id and self.calls.by_id[call].stands_at is None:
             try:
-                self.calls.fail(self.calls.by_id[call])
+                self.calls.fail(self.calls.by_id[call], "a fault of the program")
             except Exception:  # noqa: BLE001
                 self._fault(call)
 
@@ -130,8 +131,8 @@
                 if stream in self.callers.by_stream:
                     self.callers.shut(self.callers.by_stream[stream], reason)
                 else:
-                    self.core.log(f"link {stream} closed: {reason}")
-                    self.writing.peer_done(stream)
+                    self.core.log(f"link {stream} sent what cannot be read: {reason}")
+                    self.writing.peer_done(stream, CloseReason.GARBLED)
             case HalfRead(stream, half):
                 if stream in self.links.by_stream:
                     self.links.half_read(self.links.by_stream[stream], half)
@@ -140,17 +141,13 @@
             case Ended(stream):
                 self.writing.peer_done(stream)
             case Closed(stream):
-                if stream in self.links.by_stream:
-                    self.links.broken(self.links.by_stream[stream])
-                    self.links.lose(self.links.by_stream[stream])
-                elif stream in self.callers.by_stream:
-                    self.callers.lose(self.callers.by_stream[stream])
+                self.writing.peer_reset(stream)
             case Connected(stream):
                 self.links.connected(stream)
             case ConnectFailed(stream, refused):
                 self.links.connect_failed(stream, refused)
             case ListTold(update):
-                self.channel.heard_us, self.channel.lost = self.core.now, 0
+                self.channel.heard(update.number)
                 self.exchanges.list_told(update)
             case ChannelLost(reason):
                 self.channel.ended(reason)
@@ -230,13 +227,13 @@
         elif kind is TimerKind.DEADLINE and isinstance(what, Call):
             if self.calls.by_id.get(what.ident) is what and what.stands_at is None:
                 self.core.counters["overdue"] += 1
-                self.calls.fail(what)
+                self.calls.fail(what, "its deadline has come")
         elif kind is TimerKind.ATTEMPT and isinstance(what, Attempt):
             if what.call.attempt is what:
                 self.attempts.timed_out(what)
         elif kind is TimerKind.GIVE_UP and isinstance(what, Attempt):
             if what.call.attempt is what:
-                self.writing.drop(what.link)
+                self.writing.drop(what.link, CloseReason.GIVE_UP_STUCK)
         elif kind is TimerKind.HALF_READ and isinstance(what, Link):
             if self.links.by_stream.get(what.ident) is what and what.half_us:
                 self.links.half_read_long(what)
@@ -260,6 +257,10 @@
         """What has been counted; fronts count their own faults here too."""
         return self.core.counters
 
+    def trace_lines(self) -> list[str]:
+        """The last state changes with their reasons, one a line, the oldest first."""
+        return list(self.core.trace.lines())
+
     @property
     def phase(self) -> Phase:
         """What the program is at."""
--- a/latchturn/session/state.py
+++ b/latchturn/session/state.py
@@ -13,6 +13,7 @@
 from ..protocol import Message, Release, SetUp
 from .machines import STREAM, AttemptState, CallState, StreamMove, StreamState
 from .timers import Timer
+from .trace import CloseReason
 
 
 @dataclass(slots=True, frozen=True)
@@ -106,6 +107,7 @@
     told: bool = False  # whether it has been sent anything
     trust: int = 0  # 1 once it has sent a set-up that can be used, 2 once a call of its has stood
     faults: int = 0  # messages of no use lately
+    closing: CloseReason | None = None  # why it is asked to be closed once nothing lies unread on it
 
     @property
     def finishing(self) -> bool:
@@ -147,6 +149,7 @@
     started_us: int
     address: tuple[str, int]
     links: dict[int, Link] = field(default_factory=dict)
+    heard_us: int = 0  # when a message last came from it, or it was entered
     failures: int = 0  # connections in a row that came to nothing
     retry_us: int = 0
     down_us: int = 0  # since when no link is up or comes up and nothing is heard, else 0
--- a/latchturn/session/upkeep.py
+++ b/latchturn/session/upkeep.py
@@ -20,6 +20,7 @@
 from .part import Part
 from .state import Caller, Link, Stream
 from .timers import TimerKind
+from .trace import CloseReason
 
 
 class Upkeep(Part):
@@ -39,8 +40,7 @@
             for ident in old:
                 del stream.unheard[ident]
             if stream.in_flight and self.core.now - stream.write_began_us > STUCK_US:
-                self.core.log(f"stream {stream.ident} is stuck")
-                self.writing.drop(stream)
+                self.writing.drop(stream, CloseReason.WRITE_STUCK)
             elif isinstance(stream, Link) and stream.up and stream.missed_us:
                 links = self.exchanges.by_id[stream.exchange].links.values()
                 if max(k.heard_us for k in links) > stream.missed_us + MUTE_US:
@@ -53,7 +53,7 @@
                 self.callers.shut(caller, "its message stays half read")
             elif not caller.told and caller.idle and self.core.now - caller.accepted_us > SPEAK_US:
                 self.core.counters["callers_silent"] += 1
-                self.writing.drop(caller)
+                self.writing.drop(caller, CloseReason.SAID_NOTHING)
         if self.classes.before and self.core.now > self.classes.before_until_us:
             self.classes.use(self.classes.read, None)
             self.core.events.append(i.SettingsChanged(self.classes.settings))
--- a/latchturn/session/writing.py
+++ b/latchturn/session/writing.py
@@ -8,6 +8,7 @@
 from .machines import ATTEMPT, AttemptMove, StreamMove
 from .part import Part
 from .state import Attempt, Caller, GiveUpDue, Link, Outgoing, Stream
+from .trace import CloseReason, TraceEvent
 from .words import Close, Write
 
 
@@ -26,16 +27,28 @@
             m for ident, m in releases.items() if ident in self.calls.over and self.calls.over[ident].stood
         ]
 
-    def peer_done(self, stream: int) -> None:
+    def peer_done(self, stream: int, reason: CloseReason = CloseReason.PEER_ENDED) -> None:
         """Nothing more comes in on a stream. A caller still gets the answers that it is owed."""
         if stream in self.links.by_stream:
             self.links.broken(self.links.by_stream[stream])
-            self.drop(self.links.by_stream[stream])
+            self.drop(self.links.by_stream[stream], reason)
         elif stream in self.callers.by_stream:
             caller = self.callers.by_stream[stream]
             caller.move(StreamMove.FINISH)
             self.callers.close_if_finished(caller)
 
+    def peer_reset(self, stream: int) -> None:
+        """A stream is closed and nothing can be written to it any more."""
+        if stream in self.links.by_stream:
+            link = self.links.by_stream[stream]
+            self.note_closed(link, CloseReason.PEER_RESET)
+            self.links.broken(link)
+            self.links.lose(link)
+        elif stream in self.callers.by_stream:
+            caller = self.callers.by_stream[stream]
+            self.note_closed(caller, caller.closing or CloseReason.PEER_RESET)
+            self.callers.lose(caller)
+
     def queue(self, stream: Stream, item: Outgoing) -> None:
         stream.outbox.append(item)
         self.ready[stream.ident] = stream
@@ -44,8 +57,7 @@
         """Ask for the next write, if none is under way. What is stale by now does not leave."""
         if not stream.up or stream.in_flight:
             if len(stream.outbox) > MAX_OUTBOX:
-                self.core.log(f"stream {stream.ident} takes nothing in")
-                self.drop(stream)
+                self.drop(stream, CloseReason.OUTBOX_FULL)
             return
         messages: list[Message] = []
         while stream.outbox and len(messages) < WRITE_BATCH:
@@ -85,10 +97,22 @@
         if isinstance(stream, Caller):
             self.callers.close_if_finished(stream)
 
-    def drop(self, stream: Stream) -> None:
+    def drop(self, stream: Stream, reason: CloseReason) -> None:
         """Close a stream from our side."""
+        self.note_closed(stream, reason)
         self.core.effects.append(Close(stream.ident))
         if isinstance(stream, Link):
             self.links.lose(stream)
         elif isinstance(stream, Caller):
             self.callers.lose(stream)
+
+    def note_closed(self, stream: Stream, reason: CloseReason) -> None:
+        """Record and count why a stream is closed."""
+        if isinstance(stream, Link):
+            self.core.counters[f"links_closed.{reason.name.lower()}"] += 1
+            self.core.note(
+                TraceEvent.LINK_CLOSED, exchange=stream.exchange, stream=stream.ident, reason=reason.value
+            )
+        else:
+            self.core.counters[f"callers_closed.{reason.name.lower()}"] += 1
+            self.core.note(TraceEvent.CALLER_CLOSED, stream=stream.ident, reason=reason.value)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 from collections import deque
 from dataclasses import replace
 from pathlib import Path
@@ -362,6 +363,19 @@
             sock.sendall(line.encode() + b"\n")
             return sock.makefile().read().splitlines()
 
+    def log_line(self, text: str) -> str:
+        """The next line of the log that holds a text; AssertionError if none comes for 10 s or the log ends."""
+        assert self.process.stderr is not None
+        watch = threading.Timer(10, self.process.kill)
+        watch.start()
+        try:
+            for line in iter(self.process.stderr.readline, ""):
+                if text in line:
+                    return line
+        finally:
+            watch.cancel()
+        raise AssertionError(f"no line of the log holds {text!r}")
+
     def tell_list(self, number: int, exchange: int, state: int, started_ms: int = 0) -> None:
         """One event on the command channel."""
         port = self.listeners[exchange].getsockname()[1]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -180,8 +180,8 @@
             caller.send(set_up(1))
             program.links[1].next()
             program.process.send_signal(signal.SIGUSR1)
-            line = program.process.stderr.readline()
-            self.assertIn('"set_ups": 1', line)
+            self.assertIn('"set_ups": 1', program.log_line("counters "))
+            self.assertIn(f"stream={-1}", program.log_line(f"attempt sent call={1:016x}"))
             program.process.send_signal(signal.SIGTERM)
             program.links[1].send(p.Answer(1, b"yes"))
             self.assertIsInstance(caller.next(), p.Answer)
@@ -196,7 +196,7 @@
             program.links[1].next()
             program.path.write_text("{}")
             program.process.send_signal(signal.SIGHUP)
-            self.assertIn("the old one stays", program.process.stderr.readline())
+            program.log_line("the old one stays")
             with socket.create_server(("127.0.0.1", 0)) as channel:
                 channel.settimeout(10)
                 config = {**program.config, "channel": f"127.0.0.1:{channel.getsockname()[1]}", "name": "n1"}
@@ -212,7 +212,7 @@
                     program.feed = feed
                     program.tell_list(2, 1, 2)
                     self.assertIsNone(program.links[1].next())
-            self.assertIn("another name counts from the next start", program.process.stderr.readline())
+            program.log_line("another name counts from the next start")
 
     def test_want_of_descriptors_is_waited_out(self) -> None:
         with Program(command=f"ulimit -n 24; exec {sys.executable} -m latchturn") as program:
@@ -222,7 +222,7 @@
             line = ""
             while "accepts_failed" not in line:
                 program.process.send_signal(signal.SIGUSR1)
-                line = program.process.stderr.readline()
+                line = program.log_line("counters ")
             for caller in callers[:55]:
                 caller.sock.close()
             callers[-1].send(p.Test(2))
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -208,7 +208,7 @@
         with socket.create_server(("127.0.0.1", 0)) as taken:
             port = taken.getsockname()[1]
             with Program(door=port) as program:
-                self.assertIn("no door for operators", program.process.stderr.readline())
+                program.log_line("no door for operators")
                 caller = program.caller()
                 caller.send(set_up(1))
                 self.assertEqual(program.links[1].next().call, 1)
