--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	$(PYTHON) -m pytest -q
 
 lint: build
-	$(PYTHON) -m ruff check latchturn tests bench
+	$(PYTHON) -m ruff check latchturn tests bench rig
 	$(PYTHON) -m mypy
 
 run: build
--- /dev/null
+++ b/rig/discovery.py
@@ -0,0 +1,191 @@
+"""A stand-in for discovery: the command channel of one process of the program, and its outages."""
+
+from __future__ import annotations
+
+import contextlib
+from dataclasses import dataclass, replace
+
+import trio
+
+from latchturn import protocol as p
+
+from .clock import now_us
+from .record import ListEvent, Record
+from .sockets import DeafListener, reset, send_all
+
+HEARTBEAT_S = 1.0
+EMPTY_FRAME = bytes(4)
+STATES = {"ready": 0, "draining": 1, "gone": 2}
+
+
+@dataclass(slots=True, frozen=True)
+class Endpoint:
+    """One exchange as discovery has it."""
+
+    ident: int
+    number: int  # cell
+    port: int
+    state: str = "ready"
+    started_ms: int = 0
+
+
+@dataclass(slots=True)
+class Published:
+    """One event of the command channel."""
+
+    endpoint: Endpoint
+    at_us: int
+    delivered_us: int = 0
+
+
+class Discovery:
+    """The list as it is, and the events since the program's present process was started."""
+
+    def __init__(self, port: int, record: Record) -> None:
+        self.port = port
+        self.record = record
+        self.endpoints: dict[int, Endpoint] = {}
+        self.events: list[Published] = []
+        self.listener = DeafListener(port)
+        self.reachable_us = 0  # since when it can be reached, 0 while it cannot
+        self._silent = False
+        self._delay_s = 0.0
+        self._changed = trio.Event()
+        self._connections: set[trio.socket.SocketType] = set()
+
+    async def run(self) -> None:
+        """Accept and tell until cancelled."""
+        await self.listener.open()
+        self.reachable_us = now_us()
+        async with trio.open_nursery() as nursery:
+            while True:
+                sock = await self.listener.accept()
+                nursery.start_soon(self.serve, sock)
+
+    # --- the list ---
+
+    def publish(self, endpoint: Endpoint) -> None:
+        """Discovery has a change from now on."""
+        self.endpoints[endpoint.ident] = endpoint
+        if endpoint.state == "gone":
+            del self.endpoints[endpoint.ident]
+        self.events.append(Published(endpoint, now_us()))
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def set_state(self, ident: int, state: str) -> None:
+        """An exchange drains, or is gone."""
+        if ident in self.endpoints:
+            self.publish(replace(self.endpoints[ident], state=state))
+
+    def known(self) -> dict[str, object]:
+        """The list for the configuration of a process that starts now; events are counted anew for it."""
+        self.settle()
+        endpoints = [
+            {
+                "name": f"s-{e.ident:08x}", "address": f"127.0.0.1:{e.port}", "zone": "z", "type": "std",
+                "group": e.number, "status": e.state, "weight": 1, "since_ms": e.started_ms,
+            }
+            for e in self.endpoints.values()
+        ]  # fmt: skip
+        nodes = {"index": 1, "snapshot": True, "endpoints": endpoints}
+        return {"cursor": 1, "cmds": [{"cursor": 1, "nodes": nodes}]}
+
+    def settle(self) -> None:
+        """Enter the events so far in the record, and begin anew."""
+        for event in self.events:
+            reachable = max(event.at_us, self.reachable_us) if self.reachable_us else 0
+            self.record.list_events.append(
+                ListEvent(
+                    event.endpoint.ident, event.endpoint.state, event.at_us, reachable, event.delivered_us
+                )
+            )
+        self.events = []
+
+    # --- outages ---
+
+    def _drop_connections(self) -> None:
+        for sock in list(self._connections):
+            reset(sock)
+        self._connections.clear()
+
+    def go_down(self, deaf: bool) -> None:
+        """Refuse connects, or answer none at all; open connections are reset or stay silent."""
+        self.reachable_us = 0
+        if deaf:
+            self._silent = True
+            self.listener.deafen()
+        else:
+            self._drop_connections()
+            self.listener.close()
+
+    def fall_silent(self) -> None:
+        """Accept, and tell nothing."""
+        self.reachable_us = 0
+        self._silent = True
+
+    async def come_back(self) -> None:
+        """Serve again; connections from before stay as they are, silent ones stay silent."""
+        if self.reachable_us:
+            return
+        silent, self._silent = self._silent, False
+        if silent:
+            self.listener.hear()
+        else:
+            await self.listener.open()
+        self.reachable_us = now_us()
+        self._connections.clear()
+
+    def slow_down(self, delay_s: float) -> None:
+        """Take some time before the first frame of a connection."""
+        self._delay_s = delay_s
+
+    # --- connections ---
+
+    async def serve(self, sock: trio.socket.SocketType) -> None:
+        """One connection of the program."""
+        self._connections.add(sock)
+        with sock, contextlib.suppress(OSError, trio.ClosedResourceError):
+            cursor = await self.read_cursor(sock)
+            await trio.sleep(self._delay_s)
+            if self._silent:
+                await trio.sleep_forever()
+            while sock in self._connections:
+                cursor = await self.tell(sock, cursor)
+                with trio.move_on_after(HEARTBEAT_S):
+                    await self._changed.wait()
+                if self._silent:
+                    await trio.sleep_forever()
+            if cursor >= 0:
+                await trio.sleep_forever()  # from before an outage: open and silent
+
+    @staticmethod
+    async def read_cursor(sock: trio.socket.SocketType) -> int:
+        """The number of the last event that the program has."""
+        data = b""
+        while len(data) < p.CURSOR.size:
+            more = await sock.recv(p.CURSOR.size - len(data))
+            if not more:
+                raise OSError("closed")
+            data += more
+        return int(p.CURSOR.unpack(data)[0])
+
+    async def tell(self, sock: trio.socket.SocketType, cursor: int) -> int:
+        """Write the events after a number, or an empty frame; the number of the last one written."""
+        waiting = list(enumerate(self.events, 2))[max(0, cursor - 1) :]
+        for number, event in waiting:
+            await send_all(sock, encode(number, event.endpoint))
+            event.delivered_us = event.delivered_us or now_us()
+            cursor = number
+        if not waiting:
+            await send_all(sock, EMPTY_FRAME)
+        return cursor
+
+
+def encode(number: int, endpoint: Endpoint) -> bytes:
+    """One change as a frame."""
+    record = p.RECORD.pack(
+        endpoint.ident, bytes([127, 0, 0, 1]), endpoint.port, STATES[endpoint.state], 0, 0, endpoint.number,
+        1000, endpoint.started_ms,
+    )  # fmt: skip
+    return p.FRAME_HEAD.pack(p.FRAME_HEAD.size - 4 + len(record), number, 2) + record
--- /dev/null
+++ b/rig/exchange.py
@@ -0,0 +1,266 @@
+"""A stand-in for one exchange, as a process of its own: `python -m rig.exchange PORT`.
+
+It speaks the platform's protocol as docs/soak.md says, writes one JSON line per event to standard output and takes new
+options as JSON lines on standard input. It must know nothing of the rules that a trial checks.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import random
+import sys
+from collections import deque
+from dataclasses import asdict, dataclass, fields
+from functools import partial
+
+import trio
+
+from latchturn import protocol as p
+
+from .clock import now_us
+from .sockets import reset, send_all
+
+GROUP_STATES_MOST = 4  # open connections that are told group states
+RECEIVE = 64 * 1024
+
+
+@dataclass(slots=True)
+class Options:
+    """What the exchange does wrong, and its pace. Shares are between 0 and 1."""
+
+    size: int = 40  # circuits
+    answer_ms: tuple[int, int] = (3, 30)
+    hold_ms: tuple[int, int] = (1500, 8000)
+    refuse: float = 0.0  # set-ups refused as full
+    fail: float = 0.0  # set-ups that end in an error
+    reset: float = 0.0  # set-ups under which the connection is reset
+    lose_answer: float = 0.0
+    second_answer: float = 0.0
+    spoil_answer: float = 0.0  # answers that cannot be read
+    pieces: float = 0.0  # messages that leave in pieces
+
+
+@dataclass(slots=True, eq=False)
+class Connection:
+    """One connection of a session controller."""
+
+    sock: trio.socket.SocketType
+    number: int
+    waiting: deque[bytes]
+    wake: trio.Event
+    closed: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """A set-up, and the call that it may become."""
+
+    ident: int
+    connection: Connection
+    scope: trio.CancelScope
+    stands: bool = False
+
+
+class Exchange:
+    """The state of one exchange."""
+
+    def __init__(self, port: int, options: Options, seed: int) -> None:
+        self.port = port
+        self.options = options
+        self.random = random.Random(seed)
+        self.connections: list[Connection] = []
+        self.calls: dict[int, Call] = {}
+        self.untold: dict[int, bytes] = {}  # releases that are to be sent on the next connection too
+        self.accepted = 0
+        self.nursery: trio.Nursery
+
+    async def run(self) -> None:
+        """Serve until the process is ended."""
+        listener = trio.socket.socket()
+        listener.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
+        await listener.bind(("127.0.0.1", self.port))
+        listener.listen(64)
+        self.report("listening")
+        async with trio.open_nursery() as self.nursery:
+            self.nursery.start_soon(self.read_options)
+            while True:
+                sock, _ = await listener.accept()
+                self.nursery.start_soon(self.serve, sock)
+
+    def report(self, event: str, call: int = 0) -> None:
+        """Tell the trial of an event."""
+        sys.stdout.write(json.dumps({"at": now_us(), "event": event, "call": call}) + "\n")
+        sys.stdout.flush()
+
+    async def read_options(self) -> None:
+        """Take new options as they come."""
+        stream = trio.wrap_file(sys.stdin)
+        async for line in stream:
+            known = {field.name for field in fields(Options)}
+            changes = {name: value for name, value in json.loads(line).items() if name in known}
+            self.options = Options(**{**asdict(self.options), **changes})
+
+    def happens(self, share: float) -> bool:
+        """Draw whether something of a given share happens now."""
+        return self.random.random() < share
+
+    def draw_seconds(self, span_ms: tuple[int, int]) -> float:
+        """A time within a span, in seconds."""
+        return self.random.uniform(*span_ms) / 1000
+
+    # --- connections ---
+
+    async def serve(self, sock: trio.socket.SocketType) -> None:
+        """One connection, from its group state to its end."""
+        self.accepted += 1
+        connection = Connection(sock, self.accepted, deque(), trio.Event())
+        self.connections.append(connection)
+        self.send(connection, p.encode(self.group_state()))
+        for data in self.untold.values():
+            self.send(connection, data)
+        self.untold.clear()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.write, connection)
+            await self.read(connection)
+            nursery.cancel_scope.cancel()
+        self.drop(connection)
+
+    async def read(self, connection: Connection) -> None:
+        """Hear messages until the connection ends."""
+        decoder = p.message_decoder()
+        with contextlib.suppress(OSError, trio.ClosedResourceError, p.ProtocolError):
+            while data := await connection.sock.recv(RECEIVE):
+                for message in decoder.feed(data):
+                    self.hear(connection, message)
+
+    async def write(self, connection: Connection) -> None:
+        """Write what waits, some of it in pieces."""
+        with contextlib.suppress(OSError, trio.ClosedResourceError):
+            while True:
+                while connection.waiting:
+                    data = connection.waiting.popleft()
+                    if self.happens(self.options.pieces):
+                        middle = self.random.randrange(1, len(data))
+                        await send_all(connection.sock, data[:middle])
+                        await trio.sleep(self.random.uniform(0.002, 0.05))
+                        data = data[middle:]
+                    await send_all(connection.sock, data)
+                connection.wake = trio.Event()
+                await connection.wake.wait()
+
+    def send(self, connection: Connection, data: bytes) -> None:
+        """Put bytes in line for a connection."""
+        connection.waiting.append(data)
+        connection.wake.set()
+
+    def drop(self, connection: Connection, abort: bool = False) -> None:
+        """A connection has ended: the set-ups open on it are given up."""
+        if connection.closed:
+            return
+        connection.closed = True
+        self.connections.remove(connection)
+        if abort:
+            reset(connection.sock)
+        else:
+            connection.sock.close()
+        for call in [c for c in self.calls.values() if c.connection is connection and not c.stands]:
+            call.scope.cancel()
+            del self.calls[call.ident]
+
+    # --- calls ---
+
+    def group_state(self) -> p.GroupState:
+        """The free circuits as they are now."""
+        free = max(0, self.options.size - len(self.calls))
+        return p.GroupState(0, {"spare": free, "total": self.options.size, "allowed": 200})
+
+    def tell_group(self) -> None:
+        """Tell the open connections that the free circuits have changed."""
+        data = p.encode(self.group_state())
+        for connection in self.connections[:GROUP_STATES_MOST]:
+            self.send(connection, data)
+
+    def hear(self, connection: Connection, message: p.Message) -> None:
+        """One message of a session controller."""
+        if isinstance(message, p.SetUp):
+            self.hear_set_up(connection, message)
+        elif isinstance(message, p.Release):
+            self.hear_release(connection, message)
+        elif isinstance(message, p.Test):
+            self.send(connection, p.encode(p.TestResult(message.call, True)))
+
+    def hear_set_up(self, connection: Connection, message: p.SetUp) -> None:
+        """A set-up is refused, fails, is passed over or becomes a call."""
+        refusal = None
+        if len(self.calls) >= self.options.size or self.happens(self.options.refuse):
+            refusal = p.Release(message.call, p.ReleaseCause.NO_CIRCUIT, "no_circuit")
+        elif self.happens(self.options.fail):
+            refusal = p.Release(message.call, p.ReleaseCause.RESOURCE_UNAVAILABLE)
+        elif self.happens(self.options.reset):
+            self.drop(connection, abort=True)
+            return
+        if refusal is not None:
+            self.send(connection, p.encode(refusal))
+            return
+        call = self.calls[message.call] = Call(message.call, connection, trio.CancelScope())
+        self.nursery.start_soon(partial(self.run_call, call))
+
+    def hear_release(self, connection: Connection, message: p.Release) -> None:
+        """A set-up is given up, or a call that stands is ended."""
+        call = self.calls.pop(message.call, None)
+        self.send(connection, p.encode(p.ReleaseHeard(message.call)))
+        if call is not None:
+            call.scope.cancel()
+            self.report("released", call.ident)
+            self.tell_group()
+
+    async def run_call(self, call: Call) -> None:
+        """A call from its set-up to its own end."""
+        with call.scope:
+            await trio.sleep(self.draw_seconds(self.options.answer_ms))
+            self.answer(call)
+            await trio.sleep(self.draw_seconds(self.options.hold_ms))
+            self.end(call)
+
+    def answer(self, call: Call) -> None:
+        """The call stands from now on, whether its answer arrives or not."""
+        call.stands = True
+        self.report("answered", call.ident)
+        self.tell_group()
+        if self.happens(self.options.lose_answer):
+            return
+        data = p.encode(p.Answer(call.ident, description(self.port, call.ident)))
+        if self.happens(self.options.spoil_answer):
+            data = data[:2] + bytes(byte ^ 0x5A for byte in data[2:])
+        self.send(call.connection, data)
+        if self.happens(self.options.second_answer):
+            self.send(call.connection, data)
+
+    def end(self, call: Call) -> None:
+        """The call has come to its end: tell on its connection or any other, and on the next one opened."""
+        del self.calls[call.ident]
+        self.report("ended", call.ident)
+        self.tell_group()
+        data = p.encode(p.Release(call.ident, p.ReleaseCause.NORMAL))
+        connection = call.connection
+        if connection.closed and self.connections:
+            connection = self.connections[0]
+        if not connection.closed:
+            self.send(connection, data)
+        self.untold[call.ident] = data
+
+
+def description(port: int, call: int) -> bytes:
+    """What an exchange answers a call with; no other exchange and no other call has the same."""
+    return b"v=0 %d %016x\xff" % (port, call)
+
+
+def main() -> None:
+    """Serve at the port given, with options and a seed as JSON."""
+    port, options, seed = int(sys.argv[1]), json.loads(sys.argv[2]), int(sys.argv[3])
+    trio.run(Exchange(port, Options(**options), seed).run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/rig/program.py
@@ -0,0 +1,147 @@
+"""The program under test: its processes one after another, their configuration, signals and logs."""
+
+from __future__ import annotations
+
+import copy
+import json
+import os
+import signal
+import subprocess
+import tempfile
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+
+import trio
+
+from .clock import MILLISECOND, SECOND, now_us
+from .record import Process, Record
+
+ROOT = Path(__file__).parent.parent
+CLASS_NAMES = ("premium quote", "renewal quote")
+TENANT = "acme"
+KILL_AFTER_MOST_US = 3 * SECOND  # of the longest wait
+KILL_AFTER_US = 700 * MILLISECOND
+READY_S = 10.0
+
+
+def settings(longest_wait_us: int, max_attempts: int) -> dict[str, object]:
+    """Settings in the form of the configuration file; the second class waits half as long."""
+    grades = [
+        {
+            "give-up-us": longest_wait_us // (1 + k), "importance": 1.0, "late-value": 0.1, "name": name,
+            "objective-us": max(100_000, longest_wait_us // (3 + k)),
+        }
+        for k, name in enumerate(CLASS_NAMES)
+    ]  # fmt: skip
+    return {
+        "allowed": {
+            "connect-timeout-us": 500_000, "max-retry-after-us": 2_000_000, "retry-after": True,
+            "send-cap": max_attempts,
+        },
+        "deductions": {"late-fail": 0.02},
+        "discovery": "pushed",
+        "family-info": {
+            "class-hold-us": [5_000_000, 5_000_000], "own-exchange": 0, "release-us": 300_000, "resend-us": 0,
+            "shape": "meshed", "skilled-pools": [], "widths": [1, 1],
+        },
+        "grades": grades,
+        "instances": 4,
+        "realms": [{"name": TENANT, "quota-per-s": 200.0, "share": 1.0}],
+        "report": {"fields": ["spare", "total", "allowed"]},
+        "rules": {
+            "cold-from": 0.29, "fall-multiple": 2.5, "fall-us": 2_000_000,
+            "stop-sending-within-us": 2_000_000, "warm-within-us": 15_000_000,
+        },
+    }  # fmt: skip
+
+
+class Program:
+    """The program at one address, as one process after another."""
+
+    def __init__(self, record: Record, port: int, channel_port: int, sockets: int = 512) -> None:
+        deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+        self.command = deploy["run"]
+        self.record = record
+        self.port = port
+        self.folder = tempfile.TemporaryDirectory()
+        self.path = Path(self.folder.name) / "config.json"
+        self.config: dict[str, object] = {
+            "name": "n0", "listen": f"127.0.0.1:{port}", "seed": f"{record.seed:016x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            "channel": f"127.0.0.1:{channel_port}", "known": {},
+            "settings": settings(record.longest_wait_us, record.max_attempts),
+        }  # fmt: skip
+        self.process: subprocess.Popen[bytes] | None = None
+        self.log = Path(self.folder.name) / "log"
+
+    @property
+    def current(self) -> Process:
+        """The record of the process started last."""
+        return self.record.processes[-1]
+
+    @property
+    def kill_after_us(self) -> int:
+        """How long after SIGTERM SIGKILL may come at the earliest."""
+        return min(self.record.longest_wait_us, KILL_AFTER_MOST_US) + KILL_AFTER_US
+
+    def write_config(self, known: Mapping[str, object]) -> None:
+        """Put the configuration in place, whole."""
+        self.config["known"] = known
+        temporary = self.path.with_suffix(".new")
+        temporary.write_text(json.dumps(self.config))
+        temporary.replace(self.path)
+
+    def change_settings(self, longest_wait_us: int) -> None:
+        """Other waits count from the next SIGHUP on; never longer ones than the trial's."""
+        changed = copy.deepcopy(settings(longest_wait_us, self.record.max_attempts))
+        self.config["settings"] = changed
+
+    def start(self) -> None:
+        """Start a process with the configuration in place."""
+        self.record.processes.append(Process(len(self.record.processes) + 1, now_us()))
+        environment = {**os.environ, "GW_CONFIG": str(self.path), "TMPDIR": self.folder.name}
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                ["/bin/sh", "-c", self.command], env=environment, cwd=ROOT, stdout=log, stderr=log
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it still runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def watch_exit(self) -> None:
+        """Wait until the process has ended; its end is recorded with its log."""
+        process, entry = self.process, self.current
+        assert process is not None
+        while process.poll() is None:
+            await trio.sleep(0.002)
+        if not entry.exited_us:
+            entry.exited_us = now_us()
+            entry.exit_code = process.returncode
+
+    async def terminate(self) -> None:
+        """SIGTERM, then SIGKILL as early as it may come, unless the process has ended before."""
+        entry = self.current
+        entry.terminated_us = now_us()
+        self.send(signal.SIGTERM)
+        with trio.move_on_after(self.kill_after_us / SECOND):
+            await self.watch_exit()
+        if not entry.exited_us:
+            await self.kill()
+
+    async def kill(self) -> None:
+        """SIGKILL."""
+        self.current.killed_us = now_us()
+        self.send(signal.SIGKILL)
+        await self.watch_exit()
+
+    def close(self) -> None:
+        """End what runs, keep the log, remove the files."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+        if self.record.processes:
+            self.current.log = self.log.read_text(errors="replace")
+        self.folder.cleanup()
--- /dev/null
+++ b/rig/rules.py
@@ -0,0 +1,227 @@
+"""The rules, judged over the record of a trial. Pure: no clock, no sockets.
+
+Figures are those of the protocol page, with its 50 ms for each time limit; where a moment is measured on the far side
+of a socket, the measurement errs towards the program.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from .clock import MILLISECOND, SECOND
+from .record import Attempt, AttemptEnd, Call, ListEvent, Process, Record, Standing
+
+SLACK_US = 50 * MILLISECOND
+LATE_US = 500 * MILLISECOND  # a final answer so late earns nothing; later it is lost
+CROSSING_US = 50 * MILLISECOND  # a set-up that crosses a close this closely is sent once more
+TERM_TAKES_US = 700 * MILLISECOND  # after SIGTERM; what comes later is lost only by being left unanswered
+TOLD_US = 1 * SECOND  # from the exchange's release to the client's
+SILENT_TOLD_US = 8 * SECOND  # from the end of a call whose exchange cannot say so
+LIST_TOLD_US = 6 * SECOND  # after discovery had a change and could be reached
+ANSWER_RACE_US = 200 * MILLISECOND  # an answer so near to the death of its exchange may not have arrived
+FAULT_MARKS = ("Traceback", "fault, call")
+
+
+@dataclass(slots=True, frozen=True)
+class Violation:
+    """One broken rule."""
+
+    rule: str
+    at_us: int
+    text: str
+
+
+def check(record: Record) -> list[Violation]:
+    """All broken rules of a trial, by time."""
+    found = [violation for rule in RULES for violation in rule(record)]
+    return sorted(found, key=lambda v: v.at_us)
+
+
+# --- answers ---
+
+
+def answers(record: Record) -> Iterator[Violation]:
+    """Each set-up gets one final answer in time, unless its client gave it up."""
+    for call in record.calls.values():
+        if call.bad:
+            continue
+        if len(call.finals) > 1:
+            yield Violation("second answer", call.finals[1][0], f"{_name(call)}: {call.finals}")
+        if call.finals:
+            late = call.finals[0][0] - call.sent_us - call.wait_us
+            if late > LATE_US + SLACK_US and not call.gave_up_us:
+                yield Violation("lost", call.finals[0][0], f"{_name(call)}: answered {late // 1000} ms late")
+        elif not call.gave_up_us and (why := _lost(record, call)):
+            yield Violation("lost", call.sent_us, f"{_name(call)}: {why}")
+
+
+def _lost(record: Record, call: Call) -> str:
+    """Why a set-up without an answer is lost, nothing if it is not."""
+    process = record.processes[call.process - 1]
+    due = call.sent_us + call.wait_us + LATE_US + SLACK_US
+    if call.closed_us and call.closed_us - call.sent_us <= CROSSING_US:
+        return ""
+    if process.killed_us and not process.terminated_us:
+        return "" if process.killed_us <= due else "no answer before the process was killed"
+    if call.closed_us and call.closed_us < min(due, record.ended_us):
+        ended = process.exited_us and call.closed_us >= process.exited_us - SLACK_US
+        if call.client == "rude" and not ended:
+            return ""
+        return f"its connection was closed {(call.closed_us - call.sent_us) // 1000} ms after it, unanswered"
+    return "no answer" if due < record.ended_us and not call.closed_us else ""
+
+
+def descriptions(record: Record) -> Iterator[Violation]:
+    """An answer is what an exchange made for this call."""
+    made = {call for _, call in record.standing}
+    for call in record.calls.values():
+        if call.answered_us and not call.bad:
+            words = call.description.split()
+            if call.ident not in made or len(words) < 3 or not words[2].startswith(b"%016x" % call.ident):
+                yield Violation("lost", call.answered_us, f"{_name(call)}: nobody made {call.description!r}")
+
+
+def strange(record: Record) -> Iterator[Violation]:
+    """Nobody is told what cannot be."""
+    for text in record.strange:
+        yield Violation("lost", record.ended_us, text)
+
+
+# --- ends of calls ---
+
+
+def ends(record: Record) -> Iterator[Violation]:
+    """What has stood and is over is released towards its client in time."""
+    for standing in record.standing.values():
+        call = record.calls.get(standing.call)
+        if call is None or not standing.ended_us or not _owed_an_end(call, standing):
+            continue
+        due = standing.ended_us + SILENT_TOLD_US
+        if standing.delivered_us:
+            due = min(due, max(standing.delivered_us, call.answered_us) + TOLD_US)
+        due += SLACK_US
+        process = record.processes[call.process - 1]
+        if due >= min(_last_moment(process), record.ended_us):
+            continue
+        if not call.released_us or call.released_us > due:
+            told = (call.released_us - standing.ended_us) // 1000 if call.released_us else -1
+            text = f"{_name(call)} at {standing.exchange}: told {told} ms after its end (-1: never)"
+            yield Violation("end not told", due, text)
+
+
+def _owed_an_end(call: Call, standing: Standing) -> bool:
+    """Whether the client still has to hear of the end of a call."""
+    if not call.answered_us or call.bad or call.gave_up_us or call.ended_by_client_us:
+        return False
+    answered_there = standing.answered_us <= call.answered_us
+    return answered_there and standing.ended_us - standing.answered_us > ANSWER_RACE_US
+
+
+def _last_moment(process: Process) -> int:
+    """Until when a process can be held to what it has taken."""
+    ends_us = [t for t in (process.terminated_us, process.killed_us, process.exited_us) if t]
+    return min(ends_us, default=1 << 62)
+
+
+# --- attempts ---
+
+
+def attempts(record: Record) -> Iterator[Violation]:
+    """Never two attempts out, a pause after some, at most so many."""
+    by_call: dict[int, list[Attempt]] = defaultdict(list)
+    for attempt in record.attempts:
+        by_call[attempt.call].append(attempt)
+    for ident, tried in by_call.items():
+        call = record.calls.get(ident)
+        if call is None or call.bad:
+            continue
+        if len(tried) > record.max_attempts:
+            yield Violation("attempts", tried[-1].sent_us, f"{_name(call)}: {len(tried)} attempts")
+        for before, after in zip(tried, tried[1:]):
+            yield from _pair(record, call, before, after)
+
+
+PAUSED = (AttemptEnd.RESET_TOLD, AttemptEnd.GIVEN_UP, AttemptEnd.CLOSED, AttemptEnd.BROKEN)
+
+
+def _pair(record: Record, call: Call, before: Attempt, after: Attempt) -> Iterator[Violation]:
+    """One attempt after another."""
+    where = f"{_name(call)}: exchange {before.exchange}, then {after.exchange}"
+    if not before.end_us or after.sent_us < before.end_us - SLACK_US:
+        yield Violation("duplicate", after.sent_us, f"{where}: the first is still out")
+        return
+    assert before.end is not None
+    pause = after.sent_us - before.end_us
+    if before.end in PAUSED and pause < record.release_us - SLACK_US:
+        yield Violation("release", after.sent_us, f"{where}: {pause // 1000} ms after {before.end.value}")
+
+
+def drains(record: Record) -> Iterator[Violation]:
+    """Nothing new goes to an exchange that drains or is gone, some time after that was told."""
+    told: dict[int, tuple[int, ListEvent]] = {}
+    for event in record.list_events:
+        if event.state == "ready":
+            continue
+        moments = [event.delivered_us] if event.delivered_us else []
+        moments += [event.reachable_us + LIST_TOLD_US] if event.reachable_us else []
+        if moments and (event.exchange not in told or min(moments) < told[event.exchange][0]):
+            told[event.exchange] = (min(moments), event)
+    for attempt in record.attempts:
+        if attempt.exchange not in told:
+            continue
+        at, event = told[attempt.exchange]
+        if attempt.sent_us > at + record.drain_grace_us + SLACK_US:
+            text = f"call {attempt.call:016x} to exchange {attempt.exchange}, {event.state} since told at {at}"
+            yield Violation("drain", attempt.sent_us, text)
+
+
+# --- the program ---
+
+
+def crashes(record: Record) -> Iterator[Violation]:
+    """The program ends on signals alone, and has no fault of its own."""
+    for process in record.processes:
+        asked = process.terminated_us or process.killed_us
+        if process.exited_us and not asked:
+            yield Violation("crash", process.exited_us, f"process {process.number} ended: {process.exit_code}")
+        elif process.exited_us and not process.killed_us and process.exit_code not in (0, -15, 143):
+            yield Violation("crash", process.exited_us, f"process {process.number}: code {process.exit_code}")
+        elif not process.ready_us and not asked and record.ended_us - process.started_us > 10 * SECOND:
+            yield Violation("crash", process.started_us, f"process {process.number} never became ready")
+    log = record.processes[-1].log
+    for mark in FAULT_MARKS:
+        if mark in log:
+            at = log.index(mark)
+            yield Violation("crash", record.ended_us, f"in the log: {log[at : at + 600]!r}")
+
+
+def early_cuts(record: Record) -> int:
+    """How many calls the program ended though they went on at their exchange; a cost, no broken rule."""
+    early = 0
+    for standing in record.standing.values():
+        call = record.calls.get(standing.call)
+        if call is not None and call.released_us and not call.ended_by_client_us and standing.by_program:
+            early += 1
+    return early
+
+
+def slowest_end_ms(record: Record) -> int:
+    """The longest time from the end of a call that its exchange could not tell to its release to the client."""
+    times = [0]
+    for standing in record.standing.values():
+        call = record.calls.get(standing.call)
+        untold = standing.ended_us and not standing.delivered_us and not standing.by_program
+        if call is not None and untold and _owed_an_end(call, standing) and call.released_us:
+            times.append((call.released_us - standing.ended_us) // 1000)
+    return max(times)
+
+
+def _name(call: Call) -> str:
+    return f"call {call.ident:016x} ({call.client}, process {call.process})"
+
+
+RULES: tuple[Callable[[Record], Iterator[Violation]], ...] = (
+    answers, descriptions, strange, ends, attempts, drains, crashes,
+)  # fmt: skip
--- /dev/null
+++ b/rig/site.py
@@ -0,0 +1,112 @@
+"""One exchange of a trial: its process, its proxy and what both say of its calls."""
+
+from __future__ import annotations
+
+import json
+import signal
+import subprocess
+import sys
+from dataclasses import asdict
+from typing import IO
+
+import trio
+
+from .clock import now_us
+from .discovery import Endpoint
+from .exchange import Options
+from .program import ROOT
+from .proxy import Proxy
+from .record import Record, Standing
+from .sockets import free_port
+
+
+class Site:
+    """One exchange, under the id and at the address that discovery has."""
+
+    def __init__(self, ident: int, number: int, port: int, options: Options, record: Record) -> None:
+        self.ident = ident
+        self.number = number
+        self.options = options
+        self.record = record
+        self.proxy = Proxy(ident, port, free_port(), record, record.seed + ident)
+        self.process: subprocess.Popen[str] | None = None
+        self.stopped = False
+
+    @property
+    def endpoint(self) -> Endpoint:
+        """The exchange as discovery has it while it is ready."""
+        return Endpoint(self.ident, self.number, self.proxy.port)
+
+    def start(self) -> None:
+        """Start the process of the exchange."""
+        arguments = [str(self.proxy.target), json.dumps(asdict(self.options)), str(self.record.seed + self.ident)]
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "rig.exchange", *arguments],
+            stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True, cwd=ROOT,
+        )  # fmt: skip
+
+    async def run(self) -> None:
+        """Read what the exchange reports until its process ends."""
+        assert self.process is not None and self.process.stdout is not None
+        output: IO[str] = self.process.stdout
+        while line := await trio.to_thread.run_sync(output.readline, abandon_on_cancel=True):
+            self.hear(json.loads(line))
+
+    async def wait_listening(self) -> None:
+        """Wait until the exchange accepts connections."""
+        while True:
+            with trio.socket.socket() as sock:
+                try:
+                    await sock.connect(("127.0.0.1", self.proxy.target))
+                    return
+                except OSError:
+                    await trio.sleep(0.02)
+
+    def hear(self, report: dict[str, object]) -> None:
+        """One event of the exchange."""
+        at, event, call = int(str(report["at"])), report["event"], int(str(report["call"]))
+        key = (self.ident, call)
+        if event == "answered":
+            self.record.standing[key] = Standing(call, self.ident, at)
+        elif event in ("ended", "released") and key in self.record.standing:
+            standing = self.record.standing[key]
+            standing.ended_us = standing.ended_us or at
+            standing.by_program = event == "released"
+
+    def change(self, options: Options) -> None:
+        """Have the exchange act otherwise from now on."""
+        self.options = options
+        if self.process is not None and self.process.stdin is not None and self.process.poll() is None:
+            self.process.stdin.write(json.dumps(asdict(options)) + "\n")
+            self.process.stdin.flush()
+
+    def stop(self) -> None:
+        """SIGSTOP: the process hangs, and its connections stay open."""
+        self._send(signal.SIGSTOP)
+        self.stopped = True
+
+    def resume(self) -> None:
+        """SIGCONT."""
+        self._send(signal.SIGCONT)
+        self.stopped = False
+
+    def kill(self) -> None:
+        """SIGKILL: all that stands is over."""
+        self._send(signal.SIGKILL)
+        now = now_us()
+        for (exchange, _), standing in self.record.standing.items():
+            if exchange == self.ident and not standing.ended_us:
+                standing.ended_us = now
+
+    def _send(self, number: signal.Signals) -> None:
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def close(self) -> None:
+        """End the process."""
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+            for stream in (self.process.stdin, self.process.stdout):
+                if stream is not None:
+                    stream.close()
--- /dev/null
+++ b/rig/soak.py
@@ -0,0 +1,124 @@
+"""Run trials by seed: `python -m rig.soak 1-50 --jobs 3`. Exit code 1 if a rule was broken.
+
+Each trial is a process of its own. One that breaks a rule leaves its log and its faults under `found/`.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import subprocess
+import sys
+from concurrent.futures import ThreadPoolExecutor
+
+import trio
+
+from . import rules, scenario
+from .clock import SECOND
+from .program import ROOT
+from .record import Record
+from .trial import Trial
+
+FOUND = ROOT / "found"
+TRIAL_MOST_S = 120
+INCIDENT = "incident"
+
+
+def run_trial(plan: scenario.Plan) -> tuple[Record, list[rules.Violation]]:
+    """Play one plan in this process."""
+    record = plan.record()
+    trial = Trial(record, plan.exchanges, plan.clients, plan.crowd)
+    trio.run(trial.run, plan.play, scenario.TAIL_S)
+    return record, rules.check(record)
+
+
+def summary(plan: scenario.Plan, record: Record, violations: list[rules.Violation]) -> dict[str, object]:
+    """What one trial has to report, as plain values."""
+    calls = [call for call in record.calls.values() if not call.bad]
+    return {
+        "seed": plan.seed,
+        "families": list(plan.families),
+        "wait_ms": plan.longest_wait_us // 1000,
+        "crowd": plan.crowd,
+        "calls": len(calls),
+        "answered": sum(bool(call.answered_us) for call in calls),
+        "ended": sum(bool(s.ended_us) for s in record.standing.values()),
+        "processes": len(record.processes),
+        "slowest_end_ms": rules.slowest_end_ms(record),
+        "early_cuts": rules.early_cuts(record),
+        "violations": [f"{v.rule} at {_seconds(record, v.at_us)}: {v.text}" for v in violations],
+        "faults": [f"{_seconds(record, at)} {text}" for at, text in record.faults],
+    }
+
+
+def _seconds(record: Record, at_us: int) -> str:
+    return f"{(at_us - record.processes[0].started_us) / SECOND:.2f}"
+
+
+def play_one(name: str) -> int:
+    """Play the trial of a seed, or the incident; one line of JSON tells what came of it."""
+    plan = scenario.silent_exchanges() if name == INCIDENT else scenario.plan(int(name))
+    record, violations = run_trial(plan)
+    report = summary(plan, record, violations)
+    if violations:
+        FOUND.mkdir(exist_ok=True)
+        (FOUND / f"soak-{name}.json").write_text(json.dumps(report, indent=1))
+        (FOUND / f"soak-{name}.log").write_text(record.processes[-1].log)
+    print(json.dumps(report))
+    return 1 if violations else 0
+
+
+def play_in_process(name: str) -> dict[str, object]:
+    """Play a trial in a process of its own; one that fails to report is a violation."""
+    command = [sys.executable, "-m", "rig.soak", "--one", name]
+    try:
+        done = subprocess.run(command, capture_output=True, text=True, timeout=TRIAL_MOST_S, cwd=ROOT)
+        return dict(json.loads(done.stdout.splitlines()[-1]))
+    except (subprocess.TimeoutExpired, IndexError, ValueError) as error:
+        return {"seed": name, "violations": [f"the trial itself failed: {error!r}"], "faults": []}
+
+
+def names_of(words: list[str]) -> list[str]:
+    """Seeds as written on the command line: numbers, spans like 1-50, or the incident."""
+    names: list[str] = []
+    for word in words:
+        first, dash, last = word.partition("-")
+        names += [str(k) for k in range(int(first), int(last) + 1)] if dash else [word]
+    return names
+
+
+def show(report: dict[str, object]) -> None:
+    """One trial on the screen."""
+    shown = (
+        "seed", "families", "wait_ms", "crowd", "calls", "answered", "ended", "processes", "early_cuts",
+        "slowest_end_ms",
+    )  # fmt: skip
+    print(" ".join(f"{name}={report.get(name)}" for name in shown), flush=True)
+    for kind in ("faults", "violations"):
+        lines = report.get(kind)
+        if report["violations"] and isinstance(lines, list):
+            for line in lines[:20]:
+                print(f"    {kind}: {line}", flush=True)
+
+
+def main() -> int:
+    """The command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("seeds", nargs="*", default=["1-50"], help="numbers, spans like 1-50, or 'incident'")
+    parser.add_argument("--jobs", type=int, default=3, help="trials at a time, each with some eight processes")
+    parser.add_argument("--one", action="store_true", help="play one trial in this process")
+    options = parser.parse_args()
+    names = names_of(options.seeds)
+    if options.one:
+        return play_one(names[0])
+    broken = 0
+    with ThreadPoolExecutor(options.jobs) as pool:
+        for report in pool.map(play_in_process, names):
+            show(report)
+            broken += bool(report["violations"])
+    print(f"{len(names)} trials, {broken} with a broken rule")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/rig/sockets.py
@@ -0,0 +1,117 @@
+"""Sockets of the rig: listeners that can turn deaf, and closes that reset."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import struct
+
+import trio
+
+BACKLOG = 128
+FILLERS = 3  # connections that fill a queue of length 0; the system lets one or two more in than it says
+ABORT = struct.pack("ii", 1, 0)  # SO_LINGER: on, 0 s
+
+
+def free_port() -> int:
+    """A port of the loopback that nothing listens at just now."""
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return int(sock.getsockname()[1])
+
+
+def reset(sock: trio.socket.SocketType) -> None:
+    """Close a connection so that its peer sees a reset."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ABORT)
+    sock.close()
+
+
+async def send_all(sock: trio.socket.SocketType, data: bytes) -> None:
+    """Write all bytes; OSError if the connection breaks."""
+    view = memoryview(data)
+    while view:
+        view = view[await sock.send(view) :]
+
+
+class DeafListener:
+    """A listener that can stop hearing: its queue is filled, so that further connects get no answer at all.
+
+    The system drops the first packet of a connect to a full queue; the peer repeats it after 1 s and 3 s, so a connect
+    to a listener that hears again comes up late.
+    """
+
+    def __init__(self, port: int) -> None:
+        self.address = ("127.0.0.1", port)
+        self._listener: trio.socket.SocketType | None = None
+        self._fillers: list[socket.socket] = []
+        self._filler_ports: set[int] = set()
+        self._hears = trio.Event()
+
+    @property
+    def refuses(self) -> bool:
+        """Whether nothing listens."""
+        return self._listener is None
+
+    async def open(self) -> None:
+        """Listen; connections are accepted by `accept`."""
+        sock = trio.socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        await sock.bind(self.address)
+        sock.listen(BACKLOG)
+        self._listener = sock
+        self._hears.set()
+
+    def close(self) -> None:
+        """Listen no more: connects are refused."""
+        self._drop_fillers()
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+        self._hears = trio.Event()
+
+    def deafen(self) -> None:
+        """Answer no connect from now on."""
+        if self._listener is None or not self._hears.is_set():
+            return
+        self._hears = trio.Event()
+        self._listener.listen(0)
+        for _ in range(FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.address)
+            self._fillers.append(filler)
+            self._filler_ports.add(filler.getsockname()[1])
+
+    def hear(self) -> None:
+        """Answer connects again."""
+        if self._listener is None:
+            return
+        self._drop_fillers()
+        self._listener.listen(BACKLOG)
+        self._hears.set()
+
+    def _drop_fillers(self) -> None:
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+
+    async def accept(self) -> trio.socket.SocketType:
+        """The next connection of a peer, not of a filler."""
+        while True:
+            await self._hears.wait()
+            listener = self._listener
+            if listener is None:
+                continue
+            try:
+                sock, (_, port) = await listener.accept()
+            except (OSError, trio.ClosedResourceError):
+                await trio.sleep(0.001)  # closed meanwhile
+                continue
+            if port in self._filler_ports:
+                self._filler_ports.discard(port)
+                sock.close()
+                continue
+            if not self._hears.is_set():
+                reset(sock)  # it came up in the instant before the listener turned deaf
+                continue
+            return sock
--- /dev/null
+++ b/tests/test_incidents.py
@@ -0,0 +1,15 @@
+"""Reproductions of incidents, on real processes over loopback (docs/incidents/)."""
+
+from __future__ import annotations
+
+import unittest
+
+from rig import scenario, soak
+
+
+class Incidents(unittest.TestCase):
+    def test_2026_12_02_calls_on_vanished_exchanges_end_in_time_while_discovery_is_down(self) -> None:
+        record, violations = soak.run_trial(scenario.silent_exchanges())
+        lost = [s for s in record.standing.values() if s.ended_us and not s.delivered_us and not s.by_program]
+        self.assertGreater(len(lost), 5)  # calls stood there as the exchanges vanished
+        self.assertEqual([v.text for v in violations], [])
