--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 	$(PYTHON) -m pytest -q
 
 lint: build
+	$(PYTHON) -m ruff format --check latchturn tests bench rig
 	$(PYTHON) -m ruff check latchturn tests bench rig
 	$(PYTHON) -m mypy
 
--- a/bench/reducer.py
+++ b/bench/reducer.py
@@ -76,9 +76,7 @@
                     queue.append(s.Connected(effect.stream))
                     queue.append(s.Heard(effect.stream, p.GroupState(0, {"spare": 40, "total": 40})))
 
-    listed = tuple(
-        p.Listed(i.ListEntry(100 + k, k, i.ListState.READY, 0), ("127.0.0.1", 5000 + k)) for k in range(7)
-    )
+    listed = tuple(p.Listed(i.ListEntry(100 + k, k, i.ListState.READY, 0), ("127.0.0.1", 5000 + k)) for k in range(7))
     feed(s.Started((p.ListUpdate(1, i.ListKind.FULL, listed),), 1, ("127.0.0.1", 9)), s.Listening())
     feed(*(s.Accepted(k) for k in range(1, 9)))
     for call in range(1, CALLS + 1):
--- a/latchturn/benchlink.py
+++ b/latchturn/benchlink.py
@@ -284,9 +284,7 @@
                 bool(options & 8), bool(options & 2), bool(options & 16), int(via),
             )  # fmt: skip
         if code == 3:
-            (_, call, n, exchange, verdict, took, no_more, clear, fields, *values) = ENDED.unpack_from(
-                body, at
-            )
+            (_, call, n, exchange, verdict, took, no_more, clear, fields, *values) = ENDED.unpack_from(body, at)
             outcome = OUTCOMES.get(verdict)
             if outcome is None:
                 raise WireError(f"unknown outcome {verdict}")
--- a/latchturn/checking/ledger.py
+++ b/latchturn/checking/ledger.py
@@ -179,14 +179,8 @@
             case s.ListTold(update):
                 self._list(update)
             case s.Bequeathed(call, exchange):
-                if (
-                    exchange in self.exchanges
-                    and not self.exchanges[exchange].gone
-                    and call not in self.calls
-                ):
-                    told = Told(
-                        p.SetUp(call, "", 0, "", b""), 0, self.now, self.now, 0, answers=1, stood=True
-                    )
+                if exchange in self.exchanges and not self.exchanges[exchange].gone and call not in self.calls:
+                    told = Told(p.SetUp(call, "", 0, "", b""), 0, self.now, self.now, 0, answers=1, stood=True)
                     told.stands_at = exchange
                     self.calls[call] = told
             case s.PassedOn(call):
@@ -207,9 +201,7 @@
                 if known is not None and known.stream != stream:
                     self.shut.add(stream)
                 return
-            told = Told(
-                message, stream, self.now, self.now + message.wait_ms * 1000, message.figures.get("dest", -1)
-            )
+            told = Told(message, stream, self.now, self.now + message.wait_ms * 1000, message.figures.get("dest", -1))
             self.calls[message.call] = told
             self.tell(Event(Fact.TAKEN, told))
         elif isinstance(message, p.Release) and known is not None:
--- a/latchturn/checking/properties.py
+++ b/latchturn/checking/properties.py
@@ -49,9 +49,7 @@
             return None
         late = [c for c in ledger.calls.values() if c.owed and ledger.now > c.due_us]
         late = [c for c in late if c.stream not in ledger.stalled]
-        return (
-            f"call {late[0].set_up.call} has no final answer, and its caller waits no more" if late else None
-        )
+        return f"call {late[0].set_up.call} has no final answer, and its caller waits no more" if late else None
 
 
 class NoStrangers(Property):
@@ -133,9 +131,7 @@
 
 class Unchanged(Property):
     name = "unchanged"
-    law = (
-        "Id, class, number and description of a set-up pass on unchanged, and no longer a wait than is left."
-    )
+    law = "Id, class, number and description of a set-up pass on unchanged, and no longer a wait than is left."
 
     def breaks(self, ledger: Ledger, event: Event) -> str | None:
         message, call = event.message, event.call
@@ -211,9 +207,7 @@
 
 class AtOnce(Property):
     name = "at-once"
-    law = (
-        "What can be tried no more is answered in that step: attempts used up, or no exchange to send it to."
-    )
+    law = "What can be tried no more is answered in that step: attempts used up, or no exchange to send it to."
 
     def breaks(self, ledger: Ledger, event: Event) -> str | None:
         if event.fact is not Fact.STEP:
--- a/latchturn/checking/traces.py
+++ b/latchturn/checking/traces.py
@@ -56,9 +56,7 @@
     return trace
 
 
-def replay(
-    scope: str, choices: Iterable[Choice], world: World | None = None, end: bool = True
-) -> Broken | None:
+def replay(scope: str, choices: Iterable[Choice], world: World | None = None, end: bool = True) -> Broken | None:
     """Make choices one after the other; what broke, if anything did. TraceError for a choice that is not offered
     at its place. With `end`, what follows the last choice is checked too where the scope ends there."""
     world = world or World(SCOPES[scope])
@@ -68,9 +66,7 @@
             if choice not in offered:
                 shown = " ".join(map(str, choice))
                 kinds = sorted({str(c[0]) for c in offered})
-                raise TraceError(
-                    f"choice {number}, {shown!r}, cannot be made there; expected {', '.join(kinds)}"
-                )
+                raise TraceError(f"choice {number}, {shown!r}, cannot be made there; expected {', '.join(kinds)}")
             world.do(choice)
         if end and not world.choices():
             world.close_out()
--- a/latchturn/checking/walks.py
+++ b/latchturn/checking/walks.py
@@ -79,9 +79,7 @@
     return "", made
 
 
-def shorten(
-    choices: tuple[Choice, ...], broken: str, scope: str = "wide", seconds: float = 20.0
-) -> tuple[Choice, ...]:
+def shorten(choices: tuple[Choice, ...], broken: str, scope: str = "wide", seconds: float = 20.0) -> tuple[Choice, ...]:
     """A shorter path on which the same property breaks: pieces are left out, ever smaller ones, while it does."""
     until, path = time.monotonic() + seconds, list(choices)
     piece = max(1, len(path) // 2)
--- a/latchturn/checking/world.py
+++ b/latchturn/checking/world.py
@@ -361,9 +361,7 @@
         if "connect" in left and len(callers) < self.scope.callers and self.taking:
             found.append(("connect",))
 
-    def _link_may(
-        self, found: list[Choice], left: set[str], link: int, peer: Peer, links: dict[int, Peer]
-    ) -> None:
+    def _link_may(self, found: list[Choice], left: set[str], link: int, peer: Peer, links: dict[int, Peer]) -> None:
         far = self.fars.get(peer.far)
         for ident, asked in peer.asked.items():
             if not asked.said and not asked.given_up:
@@ -372,9 +370,7 @@
                 if "refuse" in left:
                     found += [("refuse", link, ident, cause) for cause in self.scope.refusals]
                 if "astray" in left:
-                    found += [
-                        ("astray", k, ident, link) for k in links if k != link and links[k].far == peer.far
-                    ]
+                    found += [("astray", k, ident, link) for k in links if k != link and links[k].far == peer.far]
             elif not asked.said and "late" in left:
                 found += [("late", link, ident, word) for word in ("answer", "reset")]
             elif asked.said and "twice" in left:
--- a/latchturn/cli/check.py
+++ b/latchturn/cli/check.py
@@ -60,9 +60,7 @@
     met: pairs.Pairs = pairs.Pairs()
     verdict = HOLDS
     for name in names:
-        result = explorer.explore(
-            name, jobs, seconds, fault or "", _progress if sys.stderr.isatty() else None
-        )
+        result = explorer.explore(name, jobs, seconds, fault or "", _progress if sys.stderr.isatty() else None)
         met.update(result.pairs)
         rate = result.transitions / max(result.seconds, 1e-9)
         outcome = "BROKEN" if result.broken else "holds, exhausted" if result.exhausted else "not exhausted"
@@ -99,9 +97,7 @@
 
 
 @check.command(name="plants")
-@click.option(
-    "--seconds", default=60.0, show_default=True, type=click.FloatRange(1), help="Time at most for each."
-)
+@click.option("--seconds", default=60.0, show_default=True, type=click.FloatRange(1), help="Time at most for each.")
 @JOBS
 def all_plants(seconds: float, jobs: int) -> None:
     """Plant every fault of the catalogue, one at a time, and look for it."""
@@ -121,18 +117,14 @@
                 f"{result.states:>8}{result.seconds:>7.1f}s"
             )
     idle = [law.name for law in properties.PROPERTIES if law.name not in caught]
-    click.echo(
-        f"{len(plants.PLANTS)} faults, {missed} not caught; properties that caught none: {idle or 'none'}"
-    )
+    click.echo(f"{len(plants.PLANTS)} faults, {missed} not caught; properties that caught none: {idle or 'none'}")
     sys.exit(BROKEN if missed or idle else HOLDS)
 
 
 @check.command()
 @click.option("--seed", default=1, show_default=True)
 @click.option("--steps", default=2000, show_default=True, type=click.IntRange(1))
-@click.option(
-    "--walks", "count", default=1, show_default=True, type=click.IntRange(1), help="Seeds in a row."
-)
+@click.option("--walks", "count", default=1, show_default=True, type=click.IntRange(1), help="Seeds in a row.")
 @JOBS
 @click.option("--json", "file", type=click.Path(path_type=Path), help="Keep a counterexample in this file.")
 def walk(seed: int, steps: int, count: int, jobs: int, file: Path | None) -> None:
@@ -192,9 +184,7 @@
     except KeyError:
         raise click.UsageError(f"{file}: planted fault {trace.fault!r} does not exist") from None
     except traces.TraceError as error:
-        click.echo(
-            f"latchturn: {error}" if str(file) in str(error) else f"latchturn: {file}: {error}", err=True
-        )
+        click.echo(f"latchturn: {error}" if str(file) in str(error) else f"latchturn: {file}: {error}", err=True)
         sys.exit(UNUSABLE)
     lines = traces.story(trace.scope, trace.choices)
     click.echo("\n".join(lines))
--- a/latchturn/net.py
+++ b/latchturn/net.py
@@ -159,9 +159,7 @@
                 self._nursery.start_soon(self._service, self._keep_time)
 
     @staticmethod
-    async def _listen(
-        address: tuple[str, int], backlog: int, reuse_port: bool = False
-    ) -> trio.socket.SocketType:
+    async def _listen(address: tuple[str, int], backlog: int, reuse_port: bool = False) -> trio.socket.SocketType:
         listener = trio.socket.socket()
         try:
             listener.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
--- a/latchturn/session/attempts.py
+++ b/latchturn/session/attempts.py
@@ -24,9 +24,7 @@
         call.attempts += 1
         slot = None if exchange is None else self.free_slot(exchange, call)
         if exchange is None or slot is None or exchange.state is not i.ListState.READY:
-            self.core.events.append(
-                i.AttemptEnded(call.ident, number, action.exchange, i.Outcome.NOT_SENT, 0, False)
-            )
+            self.core.events.append(i.AttemptEnded(call.ident, number, action.exchange, i.Outcome.NOT_SENT, 0, False))
             return
         call.used.add((exchange.ident, slot))
         link = exchange.links.get(slot) or self.links.connect(exchange, slot)
@@ -54,9 +52,7 @@
         attempt.state = ATTEMPT.go(attempt.state, AttemptMove.TIME_OUT)
         link = attempt.link
         link.mute = link.mute + 1 if link.heard_us < attempt.sent_us else 0
-        others = [
-            k.heard_us for k in self.exchanges.by_id[link.exchange].links.values() if k is not link and k.up
-        ]
+        others = [k.heard_us for k in self.exchanges.by_id[link.exchange].links.values() if k is not link and k.up]
         if link.mute and (link.mute >= MUTE_MOST or max(others, default=0) > attempt.sent_us + MUTE_US):
             self.links.drop_mute(link)
             return
--- a/latchturn/session/callers.py
+++ b/latchturn/session/callers.py
@@ -75,9 +75,7 @@
             self.core.note(TraceEvent.CALL_REFUSED, call=message.call, stream=caller.ident, reason="draining")
             self.calls.remember_answered(message.call)
             self.classes.count("declined", message.class_name)
-            self.writing.queue(
-                caller, Release(message.call, ReleaseCause.CONGESTION, stay_away_ms=DRAIN_AWAY_MS)
-            )
+            self.writing.queue(caller, Release(message.call, ReleaseCause.CONGESTION, stay_away_ms=DRAIN_AWAY_MS))
         else:
             self.calls.offer(caller, message, waited_us)
 
--- a/latchturn/session/core.py
+++ b/latchturn/session/core.py
@@ -25,9 +25,7 @@
     def log(self, text: str) -> None:
         self.effects.append(Log(text))
 
-    def note(
-        self, event: TraceEvent, *, call: int = 0, exchange: int = 0, stream: int = 0, reason: str = ""
-    ) -> None:
+    def note(self, event: TraceEvent, *, call: int = 0, exchange: int = 0, stream: int = 0, reason: str = "") -> None:
         """Record a state change; those that are few are log lines too."""
         record = TraceRecord(self.now, event, call, exchange, stream, reason)
         self.trace.records.append(record)
--- a/latchturn/session/links.py
+++ b/latchturn/session/links.py
@@ -45,9 +45,7 @@
         if not any(other.up for other in exchange.links.values()):
             exchange.down_us = exchange.down_us or self.core.now
         self.core.counters["connects"] += 1
-        self.core.effects.append(
-            Connect(link.ident, exchange.address, self.classes.settings.connect_timeout_us)
-        )
+        self.core.effects.append(Connect(link.ident, exchange.address, self.classes.settings.connect_timeout_us))
         return link
 
     def half_read(self, link: Link, half: bool) -> None:
@@ -88,9 +86,7 @@
             return
         self.core.counters["connects_refused" if refused else "connects_timed_out"] += 1
         exchange = self.exchanges.by_id[link.exchange]
-        self.writing.note_closed(
-            link, CloseReason.CONNECT_REFUSED if refused else CloseReason.CONNECT_FAILED
-        )
+        self.writing.note_closed(link, CloseReason.CONNECT_REFUSED if refused else CloseReason.CONNECT_FAILED)
         self.lose(link)
         exchange.down_us = exchange.down_us or self.core.now  # others may be open, and silent
         idle = [other for other in exchange.links.values() if other.up]
@@ -117,12 +113,7 @@
         del self.by_stream[link.ident]
         del exchange.links[link.slot]
         for attempt in sorted(link.attempts, key=lambda a: a.call.ident):
-            if (
-                not attempt.sent
-                and link.up_us
-                and attempt.moves < MOVES_MOST
-                and self.exchanges.usable(exchange)
-            ):
+            if not attempt.sent and link.up_us and attempt.moves < MOVES_MOST and self.exchanges.usable(exchange):
                 # Guards against taking the reset of a new or idle link for a dead exchange: nothing has left,
                 # so the attempt goes on over another link.
                 attempt.moves += 1
--- a/latchturn/session/phases.py
+++ b/latchturn/session/phases.py
@@ -99,9 +99,7 @@
                 self.move(PhaseMove.REJOIN)
                 self.serve_again()
             elif not self.drain_us:
-                self.core.log(
-                    f"draining: {len(self.callers.by_stream)} connections, {len(self.calls.by_id)} calls"
-                )
+                self.core.log(f"draining: {len(self.callers.by_stream)} connections, {len(self.calls.by_id)} calls")
                 self.move(PhaseMove.DRAIN)
                 self.drain(self.core.now + DRAIN_REFUSE_US, self.core.now + DRAIN_LAST_US)
             return operations.answer(True, self.phase.value)
@@ -122,9 +120,7 @@
             return False
         if self.core.now - self.started_us >= READY_MOST_US:
             return True
-        return all(
-            e.told_once or e.failures or not self.exchanges.usable(e) for e in self.exchanges.by_id.values()
-        )
+        return all(e.told_once or e.failures or not self.exchanges.usable(e) for e in self.exchanges.by_id.values())
 
     def drain(self, refuse_us: float, last_us: float) -> None:
         """Send all callers away, each once nothing of its is open. New set-ups are refused from a moment on;
@@ -164,9 +160,7 @@
             return
         self.core.effects.append(TakeCallers(not serves))
         if serves:
-            self.core.log(
-                f"succeeded: {len(self.callers.by_stream)} connections, {len(self.calls.by_id)} calls"
-            )
+            self.core.log(f"succeeded: {len(self.callers.by_stream)} connections, {len(self.calls.by_id)} calls")
             self.drain(math.inf, math.inf)
             self.leave_by_term()
         else:
--- a/latchturn/session/upkeep.py
+++ b/latchturn/session/upkeep.py
@@ -58,10 +58,7 @@
             self.classes.use(self.classes.read, None)
             self.core.events.append(i.SettingsChanged(self.classes.settings))
         self.callers.unsent = [kept for kept in self.callers.unsent if kept[0] > self.core.now]
-        held = (
-            self.callers.unsent
-            and self.callers.unsent[0][0] - STANDING_RELEASE_US < self.core.now - HOLD_RELEASE_US
-        )
+        held = self.callers.unsent and self.callers.unsent[0][0] - STANDING_RELEASE_US < self.core.now - HOLD_RELEASE_US
         if held and (best := self.callers.best()) is not None:
             self.callers.send_unsent(best)
         for exchange in self.exchanges.by_id.values():
--- a/latchturn/session/writing.py
+++ b/latchturn/session/writing.py
@@ -23,9 +23,7 @@
         waiting = [m for m in (*stream.in_flight, *stream.outbox) if isinstance(m, Release)]
         lately = [m for at, m in stream.unheard.values() if at > self.core.now - RESEND_US]
         releases = {m.call: m for m in (*lately, *waiting)}
-        return [
-            m for ident, m in releases.items() if ident in self.calls.over and self.calls.over[ident].stood
-        ]
+        return [m for ident, m in releases.items() if ident in self.calls.over and self.calls.over[ident].stood]
 
     def peer_done(self, stream: int, reason: CloseReason = CloseReason.PEER_ENDED) -> None:
         """Nothing more comes in on a stream. A caller still gets the answers that it is owed."""
@@ -110,9 +108,7 @@
         """Record and count why a stream is closed."""
         if isinstance(stream, Link):
             self.core.counters[f"links_closed.{reason.name.lower()}"] += 1
-            self.core.note(
-                TraceEvent.LINK_CLOSED, exchange=stream.exchange, stream=stream.ident, reason=reason.value
-            )
+            self.core.note(TraceEvent.LINK_CLOSED, exchange=stream.exchange, stream=stream.ident, reason=reason.value)
         else:
             self.core.counters[f"callers_closed.{reason.name.lower()}"] += 1
             self.core.note(TraceEvent.CALLER_CLOSED, stream=stream.ident, reason=reason.value)
--- a/rig/client.py
+++ b/rig/client.py
@@ -53,9 +53,7 @@
 class Client:
     """One client and its present connection."""
 
-    def __init__(
-        self, habits: Habits, port: int, record: Record, ids: Ids, destinations: list[int], seed: int
-    ) -> None:
+    def __init__(self, habits: Habits, port: int, record: Record, ids: Ids, destinations: list[int], seed: int) -> None:
         self.habits = habits
         self.address = ("127.0.0.1", port)
         self.record = record
@@ -206,9 +204,7 @@
         call.answered_us = call.answered_us or now
         call.description = message.description
 
-    async def hear_release(
-        self, sock: trio.socket.SocketType, call: Call | None, message: p.Release, now: int
-    ) -> None:
+    async def hear_release(self, sock: trio.socket.SocketType, call: Call | None, message: p.Release, now: int) -> None:
         """A refusal or failure, or the end of a call that stood."""
         self.open.pop(message.call, None)
         if call is not None and call.answered_us:
--- a/rig/discovery.py
+++ b/rig/discovery.py
@@ -96,9 +96,7 @@
         for event in self.events:
             reachable = max(event.at_us, self.reachable_us) if self.reachable_us else 0
             self.record.list_events.append(
-                ListEvent(
-                    event.endpoint.ident, event.endpoint.state, event.at_us, reachable, event.delivered_us
-                )
+                ListEvent(event.endpoint.ident, event.endpoint.state, event.at_us, reachable, event.delivered_us)
             )
         self.events = []
 
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -41,7 +41,7 @@
 
 class Messages(unittest.TestCase):
     def test_bytes_as_the_protocol_page_lays_them_out(self) -> None:
-        release = bytes.fromhex("000d" "0c" "7f3a9c21e0b4d655" "ab0001" "10")
+        release = bytes.fromhex("000d0c7f3a9c21e0b4d655ab000110")
         self.assertEqual(p.encode(p.Release(0x7F3A9C21E0B4D655, 16)), release)
         self.assertEqual(list(p.message_decoder().feed(release)), [p.Release(0x7F3A9C21E0B4D655, 16)])
 
@@ -57,9 +57,7 @@
 
     def test_what_is_unknown_is_passed_over(self) -> None:
         data = raw(200, b"") + raw(16, parameter(250, b"new")) + raw(6, b"")
-        self.assertEqual(
-            list(p.message_decoder().feed(data)), [p.Unknown(1, 200), p.ReleaseHeard(1), p.Progress(1)]
-        )
+        self.assertEqual(list(p.message_decoder().feed(data)), [p.Unknown(1, 200), p.ReleaseHeard(1), p.Progress(1)])
 
     def test_malformed_messages_come_as_errors_behind_the_good_ones(self) -> None:
         cases = {
@@ -125,13 +123,13 @@
 
 
 class Channel(unittest.TestCase):
-    RECORD = bytes.fromhex("00c41f7a" "7f000109" "0f1c" "01" "00" "00" "0002" "00000fa0" "0000000000000005")
-    HEAD = bytes.fromhex("00000024" "000000000000002a" "02")
+    RECORD = bytes.fromhex("00c41f7a7f0001090f1c010000000200000fa00000000000000005")
+    HEAD = bytes.fromhex("00000024000000000000002a02")
 
     def test_frames(self) -> None:
         entry = i.ListEntry(0xC41F7A, 2, i.ListState.DRAINING, 5000)
         told = p.ListUpdate(42, i.ListKind.CHANGES, (p.Listed(entry, ("127.0.1.9", 3868)),))
-        data = bytes(4) + self.HEAD + self.RECORD + bytes.fromhex("00000009" "000000000000002a" "00")
+        data = bytes(4) + self.HEAD + self.RECORD + bytes.fromhex("00000009000000000000002a00")
         decoder, heard = p.frame_decoder(), []
         for k in range(len(data)):
             heard += decoder.feed(data[k : k + 1])
@@ -142,8 +140,8 @@
         cases = {
             "too short": bytes.fromhex("00000008") + bytes(8),
             "too long": b"\xff" * 4,
-            "unknown kind": bytes.fromhex("00000009" "000000000000002a" "07"),
-            "half a record": bytes.fromhex("0000000a" "000000000000002a" "02" "00"),
+            "unknown kind": bytes.fromhex("00000009000000000000002a07"),
+            "half a record": bytes.fromhex("0000000a000000000000002a0200"),
             "unknown state": self.HEAD + self.RECORD[:10] + b"\x09" + self.RECORD[11:],
         }
         for name, data in cases.items():
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -354,7 +354,6 @@
         desk.hear(desk.link[1], group_state(0))
         self.assertEqual(sent(desk.hear(1, set_up(5)), p.SetUp), [desk.link[2]])
 
-
     def test_an_exchange_that_is_gone_is_forgotten(self) -> None:
         # On long days exchanges come and go under new ids, at addresses of those that have gone.
         desk = Desk(far=1)
