End the calls of a silent exchange by one clock, from its last message

Cause: in tests/test_incidents.py the first link was closed 2.8 s after the last message, after two attempts had timed out on it (1.5 s each with an aim of 1.5 s); the second stayed open; down_us began with the first failed connect 0.6 s later, and SILENT_US (6 s) ran from there: 9.72 and 9.83 s. Wrong lines: links.py set down_us only when no link was up or a connect had failed, and set it back at each connect that succeeded, which a hung process allows; with no set-up going there nothing set it at all. Class: a conclusion inferred from side effects (attempts, links, discovery), each with its own time limit. Change: session/liveness.py owns the conclusion, by one clock from the last message that proves the process is the same: a link is opened after 4.5 s of quiet, calls are over after 6.75 s. Related code mended: an exchange that is hung and accepts links; another process at the address (links reset together, or only new links speak after an outage); a link from before is kept as witness; an exchange that drains and speaks keeps its calls; what is over here is released there when it can be (60 s, and releases written since a silent link last spoke are sent again). Two tests let exchanges be silent for 9 and 10 s while calls stood, which is now their end: there they speak once a second.

--- a/latchturn/session/attempts.py
+++ b/latchturn/session/attempts.py
@@ -53,7 +53,8 @@
         link = attempt.link
         link.mute = link.mute + 1 if link.heard_us < attempt.sent_us else 0
         others = [k.heard_us for k in self.exchanges.by_id[link.exchange].links.values() if k is not link and k.up]
-        if link.mute and (link.mute >= MUTE_MOST or max(others, default=0) > attempt.sent_us + MUTE_US):
+        witness = self.liveness.is_last_witness(link)
+        if link.mute and not witness and (link.mute >= MUTE_MOST or max(others, default=0) > attempt.sent_us + MUTE_US):
             self.links.drop_mute(link)
             return
         # The give-up leaves before the module hears of the time-out, so that no two attempts are ever out.
--- a/latchturn/session/exchanges.py
+++ b/latchturn/session/exchanges.py
@@ -18,7 +18,7 @@
     Test,
     TestResult,
 )
-from .limits import COPY_US, STANDING_RELEASE_US
+from .limits import COPY_US, EXCHANGE_RELEASE_US
 from .machines import CALL, AttemptState, CallMove
 from .part import Part
 from .state import Attempt, Exchange, Link, Told
@@ -68,6 +68,7 @@
                 known = self.by_id[entry.exchange] = Exchange(
                     entry.exchange, entry.number, entry.state, entry.started_us, listed.address,
                     heard_us=self.core.now,
+                    alive_us=self.core.now,
                 )  # fmt: skip
             told.append(entry)
             self.core.note(TraceEvent.EXCHANGE_LISTED, exchange=entry.exchange, reason=entry.state.name)
@@ -118,11 +119,12 @@
         if link is not None:
             self.writing.queue(link, release)
         elif exchange.state is not i.ListState.GONE:
-            exchange.unsent.append((self.core.now + STANDING_RELEASE_US, release))
+            exchange.unsent.append((self.core.now + EXCHANGE_RELEASE_US, release))
 
     def heard(self, link: Link, message: Message) -> None:
         exchange = self.by_id[link.exchange]
-        exchange.failures, exchange.down_us, exchange.heard_us = 0, 0, self.core.now
+        exchange.failures = 0
+        self.liveness.heard(exchange, link)
         link.half_us = link.half_us and self.core.now
         link.heard_us, link.missed_us, link.mute = self.core.now, 0, 0
         call = self.calls.by_id.get(message.call)
--- a/latchturn/session/limits.py
+++ b/latchturn/session/limits.py
@@ -12,7 +12,13 @@
 RESEND_US = SECOND  # a release written so lately on a connection that closes is sent on another
 STUCK_US = 2 * SECOND  # a write that takes longer has a vanished peer
 GIVE_UP_STUCK_US = 50_000  # a give-up that has not left by then takes its link along
-SILENT_US = 6 * SECOND  # no link comes up for so long: the exchange's standing calls are over
+# The failure detector. A call may end right after the last message of an exchange that vanishes, and its caller is
+# to be told within 8 s: what is left after `SILENT_US` is for the sweep, a busy machine and a caller that has to come.
+SILENT_US = 6_750_000  # without a message for so long: the exchange's standing calls are over
+PROBE_AFTER_US = 4_500_000  # quiet for so long: a link is opened, which an exchange that lives answers at once
+PROBE_EVERY_US = 650_000  # longer than the usual connect time-out, and three fit before `SILENT_US`
+RESET_TOGETHER_US = 500_000
+EXCHANGE_RELEASE_US = 60 * SECOND  # a release that waits for a link to its exchange is dropped then
 # An exchange that drains and has refused links so long ago has ended its calls. Guards against another that
 # answers at its address by then.
 DRAINED_US = 3 * SECOND
--- a/latchturn/session/links.py
+++ b/latchturn/session/links.py
@@ -39,11 +39,9 @@
                 self.timers.set(exchange.retry_us - self.core.now, TimerKind.RECONNECT, exchange)
 
     def connect(self, exchange: Exchange, slot: int) -> Link:
-        link = Link(self.next_stream, exchange=exchange.ident, slot=slot)
+        link = Link(self.next_stream, exchange=exchange.ident, slot=slot, asked_us=self.core.now)
         self.next_stream -= 1
         self.by_stream[link.ident] = exchange.links[slot] = link
-        if not any(other.up for other in exchange.links.values()):
-            exchange.down_us = exchange.down_us or self.core.now
         self.core.counters["connects"] += 1
         self.core.effects.append(Connect(link.ident, exchange.address, self.classes.settings.connect_timeout_us))
         return link
@@ -73,7 +71,7 @@
         self.core.note(TraceEvent.LINK_UP, exchange=link.exchange, stream=stream)
         link.up_us = link.heard_us = self.core.now
         exchange = self.exchanges.by_id[link.exchange]
-        exchange.down_us, exchange.broke = 0, False
+        self.liveness.connected(exchange)
         unsent, exchange.unsent = exchange.unsent, []
         for _, release in unsent:
             self.writing.queue(link, release)
@@ -88,23 +86,7 @@
         exchange = self.exchanges.by_id[link.exchange]
         self.writing.note_closed(link, CloseReason.CONNECT_REFUSED if refused else CloseReason.CONNECT_FAILED)
         self.lose(link)
-        exchange.down_us = exchange.down_us or self.core.now  # others may be open, and silent
-        idle = [other for other in exchange.links.values() if other.up]
-        dead = refused and (exchange.broke or not idle)
-        if dead and exchange.state is not i.ListState.READY:
-            # One that drains takes no links, and its calls go on, but not for long.
-            exchange.refused_us = exchange.refused_us or self.core.now
-        elif dead:
-            # A link broke and nothing listens: the process has died, and its calls with it. Guards against
-            # waiting for links on which nothing was under way: those of a dead process may stay silent.
-            self.calls.cut(exchange, self.core.now + 1, "refuses connections")
-            for other in idle:
-                self.writing.drop(other, CloseReason.EXCHANGE_DEAD)
-
-    def broken(self, link: Link) -> None:
-        """The peer ended a link. Those kept are reconnected at once, which tells whether it has died."""
-        if link.slot < KEPT:
-            self.exchanges.by_id[link.exchange].broke = True
+        self.liveness.connect_failed(exchange, link, refused)
 
     def lose(self, link: Link) -> None:
         """The link is closed, and with that the set-ups on it are given up."""
@@ -126,8 +108,6 @@
                 self.attempts.end(attempt, i.Outcome.TIMED_OUT if attempt.given_up else i.Outcome.CUT)
         for release in self.writing.unfinished_releases(link):
             self.exchanges.release(exchange, release)
-        if not any(other.up for other in exchange.links.values()):
-            exchange.down_us = exchange.down_us or self.core.now
         # The first reconnect follows at once: a refusal tells at once that the process has died.
         pause = 0
         if exchange.failures:
--- /dev/null
+++ b/latchturn/session/liveness.py
@@ -0,0 +1,167 @@
+"""The failure detector: whether an exchange still has the calls that stand there, judged by what is heard from it.
+
+Owns every conclusion that calls are over without a word from their exchange or from discovery. There is one clock: the
+time since the last message that proves that the process is the one at which the calls stand. A connect that succeeds, a
+set-up that is written or a connection that stays open proves nothing: a hung process and a vanished machine allow all
+three. What breaks, is refused or times out only ever shortens the time until the conclusion, never sets it back.
+
+The conclusion is due within `SILENT_US` of that message, whatever discovery does: the protocol gives 8 s from the end
+of a call that its exchange cannot tell, and the call may have ended right after the message.
+"""
+
+from __future__ import annotations
+
+from .. import interface as i
+from ..protocol import Release, ReleaseCause
+from .limits import DRAINED_US, KEPT, PROBE_AFTER_US, PROBE_EVERY_US, RESET_TOGETHER_US, SILENT_US, SLOTS
+from .part import Part
+from .state import Exchange, Link
+from .trace import CloseReason, TraceEvent
+
+
+class Liveness(Part):
+    """Decides when the calls that stand at an exchange are over."""
+
+    # --- evidence ---
+
+    def heard(self, exchange: Exchange, link: Link) -> None:
+        """A message has come on a link."""
+        exchange.heard_us = self.core.now
+        if exchange.outage_us and link.up_us >= exchange.outage_us:
+            # Guards against a new process at the address, which knows nothing of the calls of the one before.
+            if not self._old_links(exchange):
+                self._lost_track(exchange, "answers again on new links alone")
+            return
+        self._prove(exchange)
+
+    def connected(self, exchange: Exchange) -> None:
+        """A link has come up. It proves something only of an exchange that sends no group states, by which
+        any other process shows itself on each new link."""
+        exchange.broke = False
+        if not exchange.told_once:
+            exchange.heard_us = self.core.now
+            self._prove(exchange)
+
+    def _prove(self, exchange: Exchange) -> None:
+        """The process at which the calls stand lives."""
+        exchange.alive_us, exchange.outage_us = self.core.now, 0
+        if exchange.quiet:
+            exchange.quiet = False
+            self.core.note(TraceEvent.EXCHANGE_HEARD, exchange=exchange.ident)
+
+    def connect_failed(self, exchange: Exchange, link: Link, refused: bool) -> None:
+        """A link did not come up."""
+        if not refused:
+            self._begin_outage(exchange, link)
+            return
+        idle = [other for other in exchange.links.values() if other.up]
+        # One that refuses further links may only have enough of them, if another link still tells something.
+        silent = exchange.standing and self.core.now - exchange.alive_us >= PROBE_AFTER_US
+        if not (exchange.broke or not idle or silent):
+            return
+        if exchange.state is not i.ListState.READY:
+            # One that drains takes no links, and its calls go on, but not for long.
+            exchange.refused_us = exchange.refused_us or self.core.now
+            self._begin_outage(exchange, link)
+            return
+        # A link broke and nothing listens: the process has died, and its calls with it. Guards against
+        # waiting for links on which nothing was under way: those of a dead process may stay silent.
+        self.calls.cut(exchange, self.core.now + 1, "refuses connections")
+        for other in idle:
+            self.writing.drop(other, CloseReason.EXCHANGE_DEAD)
+
+    @staticmethod
+    def _begin_outage(exchange: Exchange, link: Link) -> None:
+        """From the first connect that comes to nothing on, another process may come to have the address."""
+        if link.asked_us > exchange.alive_us:
+            exchange.outage_us = exchange.outage_us or link.asked_us
+
+    def broken(self, link: Link) -> None:
+        """The peer ended a link. Those kept are reconnected at once, which tells whether it has died."""
+        if link.slot < KEPT:
+            self.exchanges.by_id[link.exchange].broke = True
+
+    def reset(self, link: Link) -> None:
+        """The peer reset a link; called while the link is still entered.
+
+        Guards against a process that dies and has another in its place before a connect could be refused: its
+        links are reset together, and not for being idle. One that drains may end them and keep its calls.
+        """
+        exchange = self.exchanges.by_id[link.exchange]
+        others = any(other.up for other in exchange.links.values() if other is not link)
+        together = self.core.now - exchange.reset_us <= RESET_TOGETHER_US
+        busy = self.core.now - exchange.heard_us <= RESET_TOGETHER_US
+        exchange.reset_us = self.core.now
+        if exchange.state is i.ListState.READY and together and busy and not others:
+            self.calls.cut(exchange, self.core.now + 1, "reset all its links at once")
+
+    # --- conclusions ---
+
+    def check(self, exchange: Exchange) -> None:
+        """Now and then: ask an exchange that is quiet for a sign of life, and end its calls in time."""
+        if not exchange.standing:
+            return
+        silent_us = self.core.now - exchange.alive_us
+        if silent_us >= SILENT_US:
+            self._silent(exchange)
+        elif exchange.refused_us and self.core.now - max(exchange.refused_us, exchange.alive_us) > DRAINED_US:
+            self.calls.cut(exchange, self.core.now + 1, "has drained and refused links")
+        elif silent_us >= PROBE_AFTER_US and self.core.now - exchange.probed_us >= PROBE_EVERY_US:
+            self._probe(exchange)
+
+    def _silent(self, exchange: Exchange) -> None:
+        """Its calls are over, as far as their callers are concerned. Should it live, it is told so too."""
+        if exchange.outage_us and exchange.heard_us >= exchange.outage_us:
+            self._lost_track(exchange, "answers again on new links alone")
+            return
+        standing = sorted(exchange.standing)
+        self.calls.cut(exchange, self.core.now + 1, "is silent")
+        for link in list(exchange.links.values()):
+            if link.up and not link.attempts:
+                self.writing.drop(link, CloseReason.SILENT)
+        for call in standing:
+            self.exchanges.release(exchange, Release(call, ReleaseCause.NORMAL))
+
+    def _lost_track(self, exchange: Exchange, why: str) -> None:
+        """The process that answers now may be another: calls from before its first link are over."""
+        began_us = exchange.outage_us
+        standing = [k for k in sorted(exchange.standing) if self.calls.by_id[k].stood_us < began_us]
+        self.calls.cut(exchange, began_us, why)
+        for call in standing:
+            self.exchanges.release(exchange, Release(call, ReleaseCause.NORMAL))
+        self._prove(exchange)
+
+    def _probe(self, exchange: Exchange) -> None:
+        """Open a link, on which a group state comes first, unless one is coming up already.
+
+        A probe takes the place of the kept link that was silent longest, so that no more descriptors are held, but
+        not of the last one: a message on a link from before tells that the process is still the same.
+        """
+        exchange.probed_us = self.core.now
+        if not exchange.quiet:
+            exchange.quiet = True
+            self.core.note(
+                TraceEvent.EXCHANGE_QUIET,
+                exchange=exchange.ident,
+                reason=f"{len(exchange.standing)} calls stand, nothing heard for "
+                f"{(self.core.now - exchange.alive_us) // 1000} ms",
+            )
+        if any(not link.up for link in exchange.links.values()):
+            return
+        free = [k for k in exchange.links.values() if not k.attempts and not self.is_last_witness(k)]
+        if len(exchange.links) >= KEPT and free:
+            self.writing.drop(min(free, key=lambda link: link.heard_us), CloseReason.PROBED)
+        elif slot := next((k for k in range(SLOTS) if k not in exchange.links), 0):
+            self.links.connect(exchange, slot)
+
+    @staticmethod
+    def _old_links(exchange: Exchange) -> list[Link]:
+        """The links from before the outage, on which only the process from before can say anything."""
+        return [link for link in exchange.links.values() if link.up and link.up_us < exchange.outage_us]
+
+    def is_last_witness(self, link: Link) -> bool:
+        """Whether a silent link is still of use: it is the last one on which an exchange where calls stand
+        could show that it is still the same process."""
+        exchange = self.exchanges.by_id[link.exchange]
+        others = [k for k in exchange.links.values() if k is not link and k.up and k.up_us <= exchange.alive_us]
+        return bool(exchange.standing) and not others
--- a/latchturn/session/part.py
+++ b/latchturn/session/part.py
@@ -14,6 +14,7 @@
     from .core import Core
     from .exchanges import Exchanges
     from .links import Links
+    from .liveness import Liveness
     from .module import Module
     from .phases import Phases
     from .timers import Timers
@@ -33,6 +34,7 @@
     calls: Calls
     callers: Callers
     links: Links
+    liveness: Liveness
     exchanges: Exchanges
     channel: Channel
     phases: Phases
--- a/latchturn/session/reducer.py
+++ b/latchturn/session/reducer.py
@@ -22,6 +22,7 @@
 from .core import Core
 from .exchanges import Exchanges
 from .links import Links
+from .liveness import Liveness
 from .module import Module
 from .part import Part
 from .phases import Phase, Phases
@@ -72,6 +73,7 @@
         self.calls = Calls()
         self.callers = Callers()
         self.links = Links()
+        self.liveness = Liveness()
         self.exchanges = Exchanges()
         self.channel = Channel()
         self.phases = Phases()
--- a/latchturn/session/state.py
+++ b/latchturn/session/state.py
@@ -124,6 +124,7 @@
     exchange: int = 0
     slot: int = 0
     attempts: set[Attempt] = field(default_factory=set)
+    asked_us: int = 0  # when its connect began
     up_us: int = 0  # since when it has been up
     heard_us: int = 0  # when it last heard anything
     missed_us: int = 0  # since when another link has heard a group state that this one has not
@@ -149,10 +150,14 @@
     started_us: int
     address: tuple[str, int]
     links: dict[int, Link] = field(default_factory=dict)
-    heard_us: int = 0  # when a message last came from it, or it was entered
+    heard_us: int = 0  # when a message last came from its address, or it was entered
+    alive_us: int = 0  # when a message last came that proves it is still the same process
+    outage_us: int = 0  # when the first connect began that has timed out since then, else 0
+    quiet: bool = False  # whether it has been noted as quiet since then
+    probed_us: int = 0  # when a link was last opened for a sign of life
+    reset_us: int = 0  # when it last reset a link
     failures: int = 0  # connections in a row that came to nothing
     retry_us: int = 0
-    down_us: int = 0  # since when no link is up or comes up and nothing is heard, else 0
     refused_us: int = 0  # since when it has refused links while it drains, else 0
     broke: bool = False  # the peer ended the first link, and none has come up since
     standing: set[int] = field(default_factory=set)
--- a/latchturn/session/upkeep.py
+++ b/latchturn/session/upkeep.py
@@ -5,13 +5,10 @@
 from .. import interface as i
 from .limits import (
     CHANNEL_SILENT_US,
-    DRAINED_US,
     FAULTS_FORGIVEN,
     HALF_READ_US,
     HOLD_RELEASE_US,
     MUTE_US,
-    RESEND_US,
-    SILENT_US,
     SPEAK_US,
     STANDING_RELEASE_US,
     STUCK_US,
@@ -36,14 +33,14 @@
         for stream in streams:
             if isinstance(stream, Caller):
                 self.callers.send_again(stream)
-            old = [k for k, (at, _) in stream.unheard.items() if at <= self.core.now - RESEND_US]
-            for ident in old:
+            for ident in self.writing.settled_releases(stream):
                 del stream.unheard[ident]
             if stream.in_flight and self.core.now - stream.write_began_us > STUCK_US:
                 self.writing.drop(stream, CloseReason.WRITE_STUCK)
             elif isinstance(stream, Link) and stream.up and stream.missed_us:
                 links = self.exchanges.by_id[stream.exchange].links.values()
-                if max(k.heard_us for k in links) > stream.missed_us + MUTE_US:
+                missed_us = max(k.heard_us for k in links) - stream.missed_us
+                if missed_us > MUTE_US and not self.liveness.is_last_witness(stream):
                     self.links.drop_mute(stream)
         for caller in list(self.callers.by_stream.values()):
             caller.faults = max(0, caller.faults - FAULTS_FORGIVEN)
@@ -61,11 +58,8 @@
         held = self.callers.unsent and self.callers.unsent[0][0] - STANDING_RELEASE_US < self.core.now - HOLD_RELEASE_US
         if held and (best := self.callers.best()) is not None:
             self.callers.send_unsent(best)
-        for exchange in self.exchanges.by_id.values():
+        for exchange in list(self.exchanges.by_id.values()):
             exchange.unsent = [kept for kept in exchange.unsent if kept[0] > self.core.now]
-            if exchange.standing and exchange.down_us and self.core.now - exchange.down_us > SILENT_US:
-                self.calls.cut(exchange, self.core.now + 1, "cannot be reached")
-            if exchange.standing and exchange.refused_us and self.core.now - exchange.refused_us > DRAINED_US:
-                self.calls.cut(exchange, self.core.now + 1, "has drained and refused links")
+            self.liveness.check(exchange)
         while self.calls.over and (first := next(iter(self.calls.over.items())))[1].until_us <= self.core.now:
             del self.calls.over[first[0]]
--- a/latchturn/session/writing.py
+++ b/latchturn/session/writing.py
@@ -4,7 +4,7 @@
 
 from .. import interface as i
 from ..protocol import Message, Release, ReleaseCause, ReleaseHeard
-from .limits import MAX_OUTBOX, RESEND_US, WRITE_BATCH
+from .limits import MAX_OUTBOX, RESEND_US, STANDING_RELEASE_US, WRITE_BATCH
 from .machines import ATTEMPT, AttemptMove, StreamMove
 from .part import Part
 from .state import Attempt, Caller, GiveUpDue, Link, Outgoing, Stream
@@ -21,14 +21,26 @@
     def unfinished_releases(self, stream: Stream) -> list[Release]:
         """Releases of calls that stood which a closed connection has perhaps not carried."""
         waiting = [m for m in (*stream.in_flight, *stream.outbox) if isinstance(m, Release)]
-        lately = [m for at, m in stream.unheard.values() if at > self.core.now - RESEND_US]
+        lately = [m for at, m in stream.unheard.values() if at > self._unproved_since(stream)]
         releases = {m.call: m for m in (*lately, *waiting)}
         return [m for ident, m in releases.items() if ident in self.calls.over and self.calls.over[ident].stood]
 
+    def _unproved_since(self, stream: Stream) -> int:
+        """What was written later may not have arrived: lately, or on a link since it last told anything."""
+        since = self.core.now - RESEND_US
+        if isinstance(stream, Link):
+            since = max(min(since, stream.heard_us), self.core.now - STANDING_RELEASE_US)
+        return since
+
+    def settled_releases(self, stream: Stream) -> list[int]:
+        """The calls whose releases on a stream are held to have arrived, though nothing has confirmed them."""
+        since = self._unproved_since(stream)
+        return [call for call, (at, _) in stream.unheard.items() if at <= since]
+
     def peer_done(self, stream: int, reason: CloseReason = CloseReason.PEER_ENDED) -> None:
         """Nothing more comes in on a stream. A caller still gets the answers that it is owed."""
         if stream in self.links.by_stream:
-            self.links.broken(self.links.by_stream[stream])
+            self.liveness.broken(self.links.by_stream[stream])
             self.drop(self.links.by_stream[stream], reason)
         elif stream in self.callers.by_stream:
             caller = self.callers.by_stream[stream]
@@ -40,7 +52,8 @@
         if stream in self.links.by_stream:
             link = self.links.by_stream[stream]
             self.note_closed(link, CloseReason.PEER_RESET)
-            self.links.broken(link)
+            self.liveness.broken(link)
+            self.liveness.reset(link)
             self.links.lose(link)
         elif stream in self.callers.by_stream:
             caller = self.callers.by_stream[stream]
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -247,6 +247,17 @@
         self.now = end
         return self.written[begin:]
 
+    def pass_time_in_touch(self, us: int, tell_us: int = SECOND) -> list[tuple[int, p.Message]]:
+        """Let time pass while the exchanges go on telling group states on every link that is up."""
+        begin, end = len(self.written), self.now + us
+        while self.now < end:
+            self.pass_time(min(tell_us, end - self.now))
+            free = 10 + self.now // tell_us % 20
+            for stream, link in list(self.session.links.by_stream.items()):
+                if link.up:
+                    self.hear(stream, group_state(free))
+        return self.written[begin:]
+
     def stand(self, call: int, to: int = 1) -> None:
         """Bring a call to stand at an exchange."""
         self.hear(1, set_up(call, to))
