Hold signals of the start; release what may stand though its answer was lost

A call remembers the exchanges where an attempt may stand; they are sent a release once the call is over or stands elsewhere, never where it stands; give-ups that a lost link may not have carried are sent again.

--- a/latchturn/__main__.py
+++ b/latchturn/__main__.py
@@ -6,6 +6,10 @@
 
 from __future__ import annotations
 
+from . import early_signals
+
+early_signals.hold()  # before the imports below, which take a third of a second
+
 import os
 import sys
 from collections.abc import Mapping
--- a/latchturn/net.py
+++ b/latchturn/net.py
@@ -25,7 +25,7 @@
 
 import trio
 
-from . import handover, interface, operations, protocol, session
+from . import early_signals, handover, interface, operations, protocol, session
 
 RECEIVE = 8 * 1024  # about 50 messages: the other connections have their turn after them
 BACKLOG = 4096  # as far as the system allows: callers come by the hundred at once
@@ -461,13 +461,18 @@
     async def _watch_signals(self) -> None:
         numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
         with trio.open_signal_receiver(*numbers) as received:
+            for number in early_signals.take():
+                self._signal(number)
             async for number in received:
-                if number == signal.SIGUSR1:
-                    log("\n".join((self.counters_line(), *self.core.trace_lines())), always=True)
-                elif number == signal.SIGHUP:
-                    self._reconfigure()
-                else:
-                    self.tell(session.Terminate())
+                self._signal(number)
+
+    def _signal(self, number: int) -> None:
+        if number == signal.SIGUSR1:
+            log("\n".join((self.counters_line(), *self.core.trace_lines())), always=True)
+        elif number == signal.SIGHUP:
+            self._reconfigure()
+        else:
+            self.tell(session.Terminate())
 
     def _reconfigure(self) -> None:
         """Guards against a file that cannot be used: it is a line in the log, and the old one stays."""
--- a/latchturn/session/calls.py
+++ b/latchturn/session/calls.py
@@ -94,6 +94,16 @@
             self.callers.by_stream[call.caller].owed.discard(call.ident)
         stood = call.stands_at is not None
         self.remember_ended(call.ident, stood, answered or stood)
+        self.release_unsure(call)
+
+    def release_unsure(self, call: Call) -> None:
+        """Guards the circuits of exchanges, and callers who are told of an end of what they had no answer for: a
+        connection that breaks gives up its set-ups, but not one that was answered just before. A release under the
+        id would also end a later attempt there, so it leaves once there can be none, and not where the call stands."""
+        for ident in sorted(call.unsure):
+            if ident != call.stands_at and ident in self.exchanges.by_id:
+                self.exchanges.release(self.exchanges.by_id[ident], Release(call.ident, ReleaseCause.NORMAL))
+        call.unsure.clear()
 
     def remember_ended(self, ident: int, stood: bool, answered: bool) -> None:
         self.over.pop(ident, None)
--- a/latchturn/session/exchanges.py
+++ b/latchturn/session/exchanges.py
@@ -189,6 +189,7 @@
         self.calls.final(call.ident, Answer(call.ident, answer.description))
         call.state = CALL.go(call.state, CallMove.ANSWER)
         call.stands_at, call.stood_us = exchange.ident, self.core.now
+        self.calls.release_unsure(call)
         exchange.standing.add(call.ident)
         self.core.events.append(
             i.CallStands(call.ident, attempt.number, exchange.ident, self.core.now - attempt.started_us)
--- a/latchturn/session/links.py
+++ b/latchturn/session/links.py
@@ -105,6 +105,7 @@
             elif not attempt.sent:
                 self.attempts.end(attempt, i.Outcome.UNREACHABLE)
             else:
+                attempt.call.unsure.add(exchange.ident)
                 self.attempts.end(attempt, i.Outcome.TIMED_OUT if attempt.given_up else i.Outcome.CUT)
         for release in self.writing.unfinished_releases(link):
             self.exchanges.release(exchange, release)
--- a/latchturn/session/state.py
+++ b/latchturn/session/state.py
@@ -39,6 +39,7 @@
     stood_us: int = 0
     stands_at: int | None = None  # exchange
     used: set[tuple[int, int]] = field(default_factory=set)  # exchange and slot of earlier attempts
+    unsure: set[int] = field(default_factory=set)  # exchanges where an attempt may stand though its answer is lost
 
     @property
     def ident(self) -> int:
--- a/latchturn/session/writing.py
+++ b/latchturn/session/writing.py
@@ -19,10 +19,15 @@
         self.ready: dict[int, Stream] = {}  # streams with something to write
 
     def unfinished_releases(self, stream: Stream) -> list[Release]:
-        """Releases of calls that stood which a closed connection has perhaps not carried."""
+        """Releases which a closed connection has perhaps not carried, and which still mean something: to a caller
+        those of calls that stood, to an exchange those of any call that is over."""
         waiting = [m for m in (*stream.in_flight, *stream.outbox) if isinstance(m, Release)]
         lately = [m for at, m in stream.unheard.values() if at > self._unproved_since(stream)]
         releases = {m.call: m for m in (*lately, *waiting)}
+        if isinstance(stream, Link):
+            for ident in releases.keys() & self.calls.by_id.keys():
+                self.calls.by_id[ident].unsure.add(stream.exchange)
+            return [m for ident, m in releases.items() if ident in self.calls.over]
         return [m for ident, m in releases.items() if ident in self.calls.over and self.calls.over[ident].stood]
 
     def _unproved_since(self, stream: Stream) -> int:
@@ -97,6 +102,8 @@
         items, stream.in_flight = stream.in_flight, []
         for item in items:
             if isinstance(item, GiveUpDue):
+                call = item.attempt.call.ident
+                stream.unheard[call] = (self.core.now, Release(call, ReleaseCause.NORMAL))
                 if item.attempt.call.attempt is item.attempt:
                     self.attempts.end(item.attempt, i.Outcome.TIMED_OUT)
             elif isinstance(item, Attempt):
--- a/rig/record.py
+++ b/rig/record.py
@@ -57,6 +57,7 @@
     answered_us: int
     ended_us: int = 0
     delivered_us: int = 0  # when its release was passed to the program
+    delivered_on: int = 0  # the connection on which that was
     by_program: bool = False  # the program released it
 
 
--- a/rig/rules.py
+++ b/rig/rules.py
@@ -21,6 +21,7 @@
 SILENT_TOLD_US = 8 * SECOND  # from the end of a call whose exchange cannot say so
 LIST_TOLD_US = 6 * SECOND  # after discovery had a change and could be reached
 ANSWER_RACE_US = 200 * MILLISECOND  # an answer so near to the death of its exchange may not have arrived
+ANSWERED_LEAST = 50
 FAULT_MARKS = ("Traceback", "fault, call")
 
 
@@ -108,6 +109,9 @@
         if not call.released_us or call.released_us > due:
             told = (call.released_us - standing.ended_us) // 1000 if call.released_us else -1
             text = f"{_name(call)} at {standing.exchange}: told {told} ms after its end (-1: never)"
+            if standing.delivered_us:
+                late = (standing.delivered_us - standing.ended_us) // 1000
+                text += f", passed to the program {late} ms after it on link {standing.delivered_on}"
             yield Violation("end not told", due, text)
 
 
@@ -197,6 +201,13 @@
             yield Violation("crash", record.ended_us, f"in the log: {log[at : at + 600]!r}")
 
 
+def substance(record: Record) -> Iterator[Violation]:
+    """A trial in which next to nothing was answered shows nothing."""
+    answered = sum(bool(call.answered_us) for call in record.calls.values())
+    if answered < ANSWERED_LEAST:
+        yield Violation("no substance", record.ended_us, f"{answered} calls were answered")
+
+
 def early_cuts(record: Record) -> int:
     """How many calls the program ended though they went on at their exchange; a cost, no broken rule."""
     early = 0
@@ -223,5 +234,5 @@
 
 
 RULES: tuple[Callable[[Record], Iterator[Violation]], ...] = (
-    answers, descriptions, strange, ends, attempts, drains, crashes,
+    answers, descriptions, strange, ends, attempts, drains, crashes, substance,
 )  # fmt: skip
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -11,7 +11,9 @@
 import sys
 import threading
 import time
+import tomllib
 import unittest
+from pathlib import Path
 
 from latchturn import protocol as p
 from latchturn.net import Polls
@@ -214,6 +216,22 @@
                     self.assertIsNone(program.links[1].next())
             program.log_line("another name counts from the next start")
 
+    def test_signals_that_come_while_it_starts_end_nothing_and_are_obeyed(self) -> None:
+        deploy = tomllib.loads((Path(__file__).parent.parent / "deploy" / "balancer.toml").read_text())
+        # From the moment at which the shell has become the interpreter, which has run no line of ours yet.
+        with Program(command=deploy["run"], early=(signal.SIGHUP, signal.SIGUSR1)) as program:
+            caller = program.caller()
+            caller.send(p.Test(1))
+            self.assertEqual(caller.next(), p.TestResult(1, True))
+
+    def test_a_sighup_of_the_start_is_held_until_it_can_be_obeyed(self) -> None:
+        code = (
+            "import os, signal; from latchturn import early_signals as e; e.hold();"
+            "os.kill(os.getpid(), signal.SIGHUP); os.kill(os.getpid(), signal.SIGUSR1); print(e.take(), e.take())"
+        )
+        done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=30)
+        self.assertEqual(done.stdout, f"{[int(signal.SIGHUP), int(signal.SIGUSR1)]} []\n")
+
     def test_want_of_descriptors_is_waited_out(self) -> None:
         with Program(command=f"ulimit -n 24; exec {sys.executable} -m latchturn") as program:
             callers = [program.caller() for _ in range(60)]
