Keep the links of a hung exchange, ask for ends told on links we closed

A link that had only connected counted as having heard, which closed others as mute (links.connected set heard_us). Change: no link is closed as silent unless another has heard something since, a connect proves nothing, and at most one link that has told nothing is open beside them. Signals are ignored from the end of the loop on.

--- a/latchturn/__main__.py
+++ b/latchturn/__main__.py
@@ -58,6 +58,7 @@
     try:
         trio.run(node.run, instruments=[node.polls])
     finally:
+        early_signals.ignore()
         log(node.counters_line(), always=True)
         flush_log()
     return 0
--- a/latchturn/early_signals.py
+++ b/latchturn/early_signals.py
@@ -1,6 +1,6 @@
-"""Signals that come while the program starts: they are held until it listens for them.
+"""Signals that come while the program starts or ends: held until it listens for them, ignored once it does no more.
 
-Owns the handlers from the first line of the program until `net` installs its own. Without them SIGHUP and SIGUSR1 would
+Owns their handlers before `net` has installed its own and after it has given them up. Without, SIGHUP and SIGUSR1 would
 end the process. The deploy line ignores both before that, while the interpreter starts; the configuration is read later
 than that, so a file that such a SIGHUP was for is the one that the program starts with.
 """
@@ -24,6 +24,12 @@
         signal.signal(number, _receive)
 
 
+def ignore() -> None:
+    """Ignore the signals from now on: the program ends, and the interpreter gives its handlers up on the way out."""
+    for number in HELD:
+        signal.signal(number, signal.SIG_IGN)
+
+
 def take() -> list[int]:
     """The numbers of the signals that have been held, in their order; they are held no more."""
     numbers, _received[:] = list(_received), []
--- a/latchturn/session/attempts.py
+++ b/latchturn/session/attempts.py
@@ -40,10 +40,11 @@
     def free_slot(exchange: Exchange, call: Call) -> int | None:
         """The link for an attempt: one of its own among the call's attempts at an exchange, since the id is
         the same on each and a late answer to an earlier one could not be told from its own. Links that are
-        half read come last: what is behind a spoilt message is lost."""
+        half read come last, since what is behind a spoilt message is lost, and so do those on which the last attempt
+        timed out unheard."""
         free = [k for k in range(SLOTS) if (exchange.ident, k) not in call.used]
-        half = {k for k, link in exchange.links.items() if link.half_us}
-        return next((k for k in free if k not in half), free[0] if free else None)
+        poor = {k for k, link in exchange.links.items() if link.half_us or link.mute}
+        return next((k for k in free if k not in poor), free[0] if free else None)
 
     def timed_out(self, attempt: Attempt) -> None:
         if not attempt.sent:
@@ -53,14 +54,24 @@
         link = attempt.link
         link.mute = link.mute + 1 if link.heard_us < attempt.sent_us else 0
         others = [k.heard_us for k in self.exchanges.by_id[link.exchange].links.values() if k is not link and k.up]
-        witness = self.liveness.is_last_witness(link)
-        if link.mute and not witness and (link.mute >= MUTE_MOST or max(others, default=0) > attempt.sent_us + MUTE_US):
+        if link.mute and self.is_mute(attempt, others):
             self.links.drop_mute(link)
             return
+        if link.mute:
+            self.liveness.suspect(self.exchanges.by_id[link.exchange])
         # The give-up leaves before the module hears of the time-out, so that no two attempts are ever out.
         self.writing.queue(attempt.link, GiveUpDue(attempt))
         attempt.timer = self.timers.set(GIVE_UP_STUCK_US, TimerKind.GIVE_UP, attempt)
 
+    def is_mute(self, attempt: Attempt, others_heard_us: list[int]) -> bool:
+        """Whether a link on which nothing has been heard since an attempt left is of no use any more: others have
+        heard something, or there are none and no call needs it."""
+        if self.liveness.is_last_witness(attempt.link):
+            return False
+        if others_heard_us:
+            return max(others_heard_us) > attempt.sent_us + MUTE_US
+        return attempt.link.mute >= MUTE_MOST
+
     def end(
         self,
         attempt: Attempt,
--- a/latchturn/session/exchanges.py
+++ b/latchturn/session/exchanges.py
@@ -188,7 +188,7 @@
         self.core.note(TraceEvent.CALL_ANSWERED, call=call.ident, exchange=exchange.ident, stream=call.caller)
         self.calls.final(call.ident, Answer(call.ident, answer.description))
         call.state = CALL.go(call.state, CallMove.ANSWER)
-        call.stands_at, call.stood_us = exchange.ident, self.core.now
+        call.stands_at, call.stood_us, call.link = exchange.ident, self.core.now, link.ident
         self.calls.release_unsure(call)
         exchange.standing.add(call.ident)
         self.core.events.append(
--- a/latchturn/session/links.py
+++ b/latchturn/session/links.py
@@ -69,7 +69,7 @@
             return
         link.move(StreamMove.CONNECTED)
         self.core.note(TraceEvent.LINK_UP, exchange=link.exchange, stream=stream)
-        link.up_us = link.heard_us = self.core.now
+        link.up_us = self.core.now
         exchange = self.exchanges.by_id[link.exchange]
         self.liveness.connected(exchange)
         unsent, exchange.unsent = exchange.unsent, []
--- a/latchturn/session/liveness.py
+++ b/latchturn/session/liveness.py
@@ -13,7 +13,7 @@
 
 from .. import interface as i
 from ..protocol import Release, ReleaseCause
-from .limits import DRAINED_US, KEPT, PROBE_AFTER_US, PROBE_EVERY_US, RESET_TOGETHER_US, SILENT_US, SLOTS
+from .limits import ASK_ENDS_US, DRAINED_US, KEPT, PROBE_AFTER_US, PROBE_EVERY_US, RESET_TOGETHER_US, SILENT_US, SLOTS
 from .part import Part
 from .state import Exchange, Link
 from .trace import CloseReason, TraceEvent
@@ -108,6 +108,14 @@
             self.calls.cut(exchange, self.core.now + 1, "has drained and refused links")
         elif silent_us >= PROBE_AFTER_US and self.core.now - exchange.probed_us >= PROBE_EVERY_US:
             self._probe(exchange)
+        elif self._is_owed_ends(exchange):
+            exchange.asked_us = self.core.now
+            self._open_link(exchange)
+
+    def _is_owed_ends(self, exchange: Exchange) -> bool:
+        """Whether ends of calls may have been told on links that we have closed, and it is time to ask for them."""
+        exchange.untold &= exchange.standing
+        return bool(exchange.untold) and self.core.now - exchange.asked_us >= ASK_ENDS_US
 
     def _silent(self, exchange: Exchange) -> None:
         """Its calls are over, as far as their callers are concerned. Should it live, it is told so too."""
@@ -131,29 +139,53 @@
             self.exchanges.release(exchange, Release(call, ReleaseCause.NORMAL))
         self._prove(exchange)
 
+    def suspect(self, exchange: Exchange) -> None:
+        """Set-ups time out unheard: see at once whether a new link hears more."""
+        if self.core.now - exchange.probed_us >= PROBE_EVERY_US:
+            self._open_link(exchange)
+
     def _probe(self, exchange: Exchange) -> None:
-        """Open a link, on which a group state comes first, unless one is coming up already.
+        """Nothing has been heard for some time: a new link tells whether anybody is there."""
+        if not exchange.quiet:
+            exchange.quiet = True
+            silent_ms = (self.core.now - exchange.alive_us) // 1000
+            reason = f"{len(exchange.standing)} calls stand, nothing heard for {silent_ms} ms"
+            self.core.note(TraceEvent.EXCHANGE_QUIET, exchange=exchange.ident, reason=reason)
+        self._open_link(exchange)
+
+    def _open_link(self, exchange: Exchange) -> None:
+        """Open a further link, unless one is coming up already or has told nothing yet.
 
-        A probe takes the place of the kept link that was silent longest, so that no more descriptors are held, but
-        not of the last one: a message on a link from before tells that the process is still the same.
+        What comes first on it proves that the exchange lives, and calls that have ended are told there. The links
+        that are open stay so: a hung exchange will speak on them when it goes on, and what it tells on one that it
+        does not know to be closed is lost.
         """
         exchange.probed_us = self.core.now
-        if not exchange.quiet:
-            exchange.quiet = True
-            self.core.note(
-                TraceEvent.EXCHANGE_QUIET,
-                exchange=exchange.ident,
-                reason=f"{len(exchange.standing)} calls stand, nothing heard for "
-                f"{(self.core.now - exchange.alive_us) // 1000} ms",
-            )
-        if any(not link.up for link in exchange.links.values()):
+        if any(not k.up or (exchange.told_once and not k.heard_us) for k in exchange.links.values()):
             return
-        free = [k for k in exchange.links.values() if not k.attempts and not self.is_last_witness(k)]
-        if len(exchange.links) >= KEPT and free:
-            self.writing.drop(min(free, key=lambda link: link.heard_us), CloseReason.PROBED)
-        elif slot := next((k for k in range(SLOTS) if k not in exchange.links), 0):
+        slot = next((k for k in reversed(range(SLOTS)) if k not in exchange.links), None)
+        if slot is None:
+            slot = self._make_room(exchange)
+        if slot is not None and slot not in exchange.links:
             self.links.connect(exchange, slot)
 
+    def _make_room(self, exchange: Exchange) -> int | None:
+        """Close the link that is worth least: one without calls, and not the last one from before."""
+        needed = {self.calls.by_id[k].link for k in exchange.standing}
+        idle = [k for k in exchange.links.values() if not k.attempts and not self.is_last_witness(k)]
+        if not idle:
+            return None
+        least = min(idle, key=lambda k: (k.ident in needed, k.slot < KEPT, k.heard_us))
+        self.writing.drop(least, CloseReason.PROBED)
+        return least.slot
+
+    def closed_by_us(self, link: Link) -> None:
+        """Guards the calls of an exchange that may tell their end on a link which we have closed, not knowing that
+        nobody listens: on that of the set-up, or any other. It tells it on the next link that is opened, too."""
+        exchange = self.exchanges.by_id[link.exchange]
+        exchange.untold |= exchange.standing
+        exchange.asked_us = self.core.now
+
     @staticmethod
     def _old_links(exchange: Exchange) -> list[Link]:
         """The links from before the outage, on which only the process from before can say anything."""
--- a/latchturn/session/state.py
+++ b/latchturn/session/state.py
@@ -38,6 +38,7 @@
     state: CallState = CallState.OWED
     stood_us: int = 0
     stands_at: int | None = None  # exchange
+    link: int = 0  # stream on which it came to stand
     used: set[tuple[int, int]] = field(default_factory=set)  # exchange and slot of earlier attempts
     unsure: set[int] = field(default_factory=set)  # exchanges where an attempt may stand though its answer is lost
 
@@ -127,7 +128,7 @@
     attempts: set[Attempt] = field(default_factory=set)
     asked_us: int = 0  # when its connect began
     up_us: int = 0  # since when it has been up
-    heard_us: int = 0  # when it last heard anything
+    heard_us: int = 0  # when it last heard anything, 0 if it never has
     missed_us: int = 0  # since when another link has heard a group state that this one has not
     mute: int = 0  # attempts that timed out on it in a row with nothing heard
 
@@ -157,6 +158,8 @@
     quiet: bool = False  # whether it has been noted as quiet since then
     probed_us: int = 0  # when a link was last opened for a sign of life
     reset_us: int = 0  # when it last reset a link
+    untold: set[int] = field(default_factory=set)  # calls that stood as a link was closed from our side
+    asked_us: int = 0  # when a link was last closed so, or opened to hear of their ends
     failures: int = 0  # connections in a row that came to nothing
     retry_us: int = 0
     refused_us: int = 0  # since when it has refused links while it drains, else 0
--- a/latchturn/session/writing.py
+++ b/latchturn/session/writing.py
@@ -120,6 +120,8 @@
         self.note_closed(stream, reason)
         self.core.effects.append(Close(stream.ident))
         if isinstance(stream, Link):
+            if reason is not CloseReason.PEER_ENDED:
+                self.liveness.closed_by_us(stream)
             self.links.lose(stream)
         elif isinstance(stream, Caller):
             self.callers.lose(stream)
--- a/rig/site.py
+++ b/rig/site.py
@@ -35,7 +35,7 @@
     @property
     def endpoint(self) -> Endpoint:
         """The exchange as discovery has it while it is ready."""
-        return Endpoint(self.ident, self.number, self.proxy.port)
+        return Endpoint(self.ident, self.number, self.proxy.host, self.proxy.port)
 
     def start(self) -> None:
         """Start the process of the exchange."""
--- a/rig/trial.py
+++ b/rig/trial.py
@@ -22,6 +22,7 @@
 
 FIRST_IDENT = 101
 NEW_CONNECTIONS_S = 0.3  # after SIGTERM
+TRACE_EVERY_S = 2.0
 SETTLE_S = 1.0  # between readiness and the first fault
 
 
@@ -63,6 +64,7 @@
                     self.nursery.start_soon(client.run)
                 for _ in range(self.crowd):
                     self.nursery.start_soon(self.loiter)
+                self.nursery.start_soon(self.keep_traces)
                 await trio.sleep(SETTLE_S)
                 await scenario(self)
                 await trio.sleep(tail_s)
@@ -86,6 +88,7 @@
 
     async def start_program(self) -> None:
         """Start a process of the program and wait until it passes a test."""
+        self.discovery.start_anew()
         self.program.write_config(self.discovery.known())
         self.program.start()
         for site in (*self.sites.values(), *self.retired):
@@ -106,6 +109,13 @@
                     return isinstance(message, p.TestResult) and message.passed
         return False
 
+    async def keep_traces(self) -> None:
+        """Have the program print its trace so often that none of it is lost."""
+        while True:
+            await trio.sleep(TRACE_EVERY_S)
+            if self.program.current.ready_us:
+                self.program.send(signal.SIGUSR1)
+
     async def loiter(self) -> None:
         """One connection of a crowd: idle, or half written."""
         while True:
@@ -154,11 +164,11 @@
             else:
                 if shorter:
                     self.program.change_settings(longest if k % 2 else longest * 9 // 10)
-                self.program.write_config({"cursor": 1, "cmds": []})
+                self.program.write_config(self.discovery.known())
             self.program.send(signal.SIGHUP)
             await trio.sleep(pause_s)
         self.program.change_settings(longest)
-        self.program.write_config({"cursor": 1, "cmds": []})
+        self.program.write_config(self.discovery.known())
         self.program.send(signal.SIGHUP)
 
     # --- faults: discovery ---
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -232,6 +232,16 @@
         done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=30)
         self.assertEqual(done.stdout, f"{[int(signal.SIGHUP), int(signal.SIGUSR1)]} []\n")
 
+    def test_signals_that_come_while_it_ends_do_not_change_how(self) -> None:
+        # The interpreter gives up its handlers on the way out; what is ignored stays so.
+        code = (
+            "import os, signal, atexit; from latchturn import early_signals as e; e.hold(); e.ignore();"
+            "os.kill(os.getpid(), signal.SIGHUP); os.kill(os.getpid(), signal.SIGUSR1);"
+            "print(e.take(), [signal.getsignal(n) is signal.SIG_IGN for n in e.HELD])"
+        )
+        done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=30)
+        self.assertEqual((done.returncode, done.stdout), (0, "[] [True, True]\n"))
+
     def test_want_of_descriptors_is_waited_out(self) -> None:
         with Program(command=f"ulimit -n 24; exec {sys.executable} -m latchturn") as program:
             callers = [program.caller() for _ in range(60)]
