--- a/latchturn/checking/ledger.py
+++ b/latchturn/checking/ledger.py
@@ -47,7 +47,7 @@
 
 
 @dataclass(slots=True)
-class Told:
+class ObservedCall:
     """One call as seen from outside."""
 
     set_up: p.SetUp
@@ -96,7 +96,7 @@
     """A fact with what it is about; what does not apply is None."""
 
     fact: Fact
-    call: Told | None = None
+    call: ObservedCall | None = None
     attempt: Try | None = None
     message: object = None
     stream: int = 0
@@ -111,7 +111,7 @@
         self.most = settings.max_attempts
         self.release_us = settings.release_us
         self.grace_us = settings.drain_grace_us
-        self.calls: dict[int, Told] = {}
+        self.calls: dict[int, ObservedCall] = {}
         self.exchanges: dict[int, Known] = {}
         self.links: dict[int, int] = {}  # stream -> exchange
         self.up: set[int] = set()
@@ -180,7 +180,7 @@
                 self._list(update)
             case s.Bequeathed(call, exchange):
                 if exchange in self.exchanges and not self.exchanges[exchange].gone and call not in self.calls:
-                    told = Told(p.SetUp(call, "", 0, "", b""), 0, self.now, self.now, 0, answers=1, stood=True)
+                    told = ObservedCall(p.SetUp(call, "", 0, "", b""), 0, self.now, self.now, 0, answers=1, stood=True)
                     told.stands_at = exchange
                     self.calls[call] = told
             case s.PassedOn(call):
@@ -201,7 +201,9 @@
                 if known is not None and known.stream != stream:
                     self.shut.add(stream)
                 return
-            told = Told(message, stream, self.now, self.now + message.wait_ms * 1000, message.figures.get("dest", -1))
+            told = ObservedCall(
+                message, stream, self.now, self.now + message.wait_ms * 1000, message.figures.get("dest", -1)
+            )
             self.calls[message.call] = told
             self.tell(Event(Fact.TAKEN, told))
         elif isinstance(message, p.Release) and known is not None:
@@ -229,11 +231,11 @@
             if ends and told.stood and told.stands_at == self.links.get(link):
                 self._ended(told)
 
-    def _ended(self, told: Told) -> None:
+    def _ended(self, told: ObservedCall) -> None:
         if not told.over_us and not told.ended_by_caller_us:
             told.over_us = self.now
 
-    def _over(self, told: Told, attempt: Try, quiet: bool) -> None:
+    def _over(self, told: ObservedCall, attempt: Try, quiet: bool) -> None:
         told.out.remove(attempt)
         if quiet:
             told.quiet_us = self.now
--- a/latchturn/checking/remains.py
+++ b/latchturn/checking/remains.py
@@ -29,7 +29,7 @@
     for stream in (*session.callers.by_stream.values(), *session.links.by_stream.values()):
         if stream.up and (stream.outbox or stream.in_flight):
             found.append(f"unwritten messages on stream {stream.ident}")
-        if stream.unheard:
+        if stream.unconfirmed:
             found.append(f"unconfirmed releases on stream {stream.ident}")
     found += [f"owed calls on caller {c.ident}" for c in session.callers.by_stream.values() if c.owed]
     found += [f"attempts on link {k.ident}" for k in session.links.by_stream.values() if k.attempts]
--- a/latchturn/session/callers.py
+++ b/latchturn/session/callers.py
@@ -33,7 +33,7 @@
 
     def __init__(self) -> None:
         self.by_stream: dict[int, Caller] = {}
-        self.strangers: dict[int, Caller] = {}  # those that have set up no call, as they last did anything
+        self.without_calls: dict[int, Caller] = {}  # those that have set up no call, as they last did anything
         self.unsent: list[tuple[int, Release]] = []  # releases that wait for a caller
 
     def asked(self, caller: Caller, message: SetUp | Unusable, waited_us: int) -> None:
@@ -105,7 +105,7 @@
                 return
             self.writing.drop(least, CloseReason.NO_DESCRIPTORS)
         caller = Caller(stream, StreamState.UP, True, accepted_us=self.core.now, active_us=self.core.now)
-        self.by_stream[stream] = self.strangers[stream] = caller
+        self.by_stream[stream] = self.without_calls[stream] = caller
 
     def most(self) -> int:
         """How many connections of callers fit the descriptor limit, beside those of the other process."""
@@ -119,7 +119,7 @@
         that comes in pieces is not a connection that is silent. Where all of them have done something just
         now, a connection goes on which nothing is open or stands; those on which calls stand go last.
         """
-        stranger = next((c for c in self.strangers.values() if c.idle), None)
+        stranger = next((c for c in self.without_calls.values() if c.idle), None)
         if stranger is not None and self.core.now - stranger.active_us >= FRESH_US:
             return stranger
         needed = {call.caller for call in self.calls.by_id.values()}
@@ -143,8 +143,8 @@
     def active(self, caller: Caller) -> None:
         """It has sent something. Strangers are kept in the order in which they last did."""
         caller.active_us = self.core.now
-        if self.strangers.pop(caller.ident, None) is not None:
-            self.strangers[caller.ident] = caller
+        if self.without_calls.pop(caller.ident, None) is not None:
+            self.without_calls[caller.ident] = caller
 
     def heard(self, caller: Caller, message: Message, waited_us: int) -> None:
         if caller.finishing:
@@ -169,7 +169,7 @@
                 if call.stands_at is not None:
                     self.writing.queue(caller, ReleaseHeard(call.ident))
                 self.calls.told_over(call, message.cause)
-        elif isinstance(message, ReleaseHeard) and caller.unheard.pop(message.call, None) is not None:
+        elif isinstance(message, ReleaseHeard) and caller.unconfirmed.pop(message.call, None) is not None:
             self.core.counters["releases_heard"] += 1
         elif isinstance(message, Test):
             # The front asks here whether to send more. Who ends may have a successor at the address.
@@ -200,10 +200,10 @@
     def send_again(self, caller: Caller) -> None:
         """Guards against a release that is lost with a connection whose caller is gone, or never cared for
         it: callers confirm what they hear."""
-        for ident, (at, release) in list(caller.unheard.items()):
+        for ident, (at, release) in list(caller.unconfirmed.items()):
             if at > self.core.now - HEARD_US:
                 continue
-            del caller.unheard[ident]
+            del caller.unconfirmed[ident]
             over = self.calls.over.get(ident)
             if over is None or not over.stood or self.core.now - over.until_us + FORGET_US > HEARD_MOST_US:
                 continue
@@ -225,7 +225,7 @@
         """The connection is closed: what was owed on it is owed no more, releases go another way."""
         caller.move(StreamMove.CLOSE)
         del self.by_stream[caller.ident]
-        self.strangers.pop(caller.ident, None)
+        self.without_calls.pop(caller.ident, None)
         for ident in list(caller.owed):
             self.core.counters["callers_vanished"] += 1
             self.calls.leave(self.calls.by_id[ident])
--- a/latchturn/session/calls.py
+++ b/latchturn/session/calls.py
@@ -23,7 +23,7 @@
         """Take in a set-up that can be used. Its caller counts the time from its last byte, so what a busy
         machine left it unread comes off."""
         caller.trust = max(caller.trust, 1)
-        self.callers.strangers.pop(caller.ident, None)
+        self.callers.without_calls.pop(caller.ident, None)
         wait_us = set_up.wait_ms * 1000
         deadline = self.core.now - waited_us + wait_us - min(DEADLINE_MARGIN_US, wait_us // 10)
         deadline = max(deadline, self.core.now)
--- a/latchturn/session/exchanges.py
+++ b/latchturn/session/exchanges.py
@@ -21,7 +21,7 @@
 from .limits import COPY_US, EXCHANGE_RELEASE_US
 from .machines import CALL, AttemptState, CallMove
 from .part import Part
-from .state import Attempt, Exchange, Link, Told
+from .state import Attempt, Exchange, Link, SeenGroupState
 from .trace import CloseReason, TraceEvent
 
 NOTES = {
@@ -139,11 +139,11 @@
             for other in exchange.links.values():
                 if other is not link and other.up and not other.missed_us:
                     other.missed_us = self.core.now
-            exchange.told_once = True
+            exchange.sends_group_states = True
             if not self.is_copy(exchange, link, message.report):
                 self.tell_report(exchange, message.report)
         elif isinstance(message, ReleaseHeard):
-            link.unheard.pop(message.call, None)
+            link.unconfirmed.pop(message.call, None)
         elif isinstance(message, Test):
             self.writing.queue(link, TestResult(message.call, True))
         elif not isinstance(message, Progress):
@@ -156,7 +156,7 @@
 
         Guards against circuits that are counted as free once more, after a call has been sent to them.
         """
-        told = exchange.told
+        told = exchange.group_states
         while told and told[0].at_us < self.core.now - COPY_US:
             told.popleft()
         for state in told:
@@ -164,7 +164,7 @@
                 state.links.add(link.ident)
                 self.core.counters["group_states_copied"] += 1
                 return True
-        told.append(Told(self.core.now, figures, {link.ident}))
+        told.append(SeenGroupState(self.core.now, figures, {link.ident}))
         return False
 
     def tell_report(self, exchange: Exchange, figures: Mapping[str, float]) -> None:
--- /dev/null
+++ b/latchturn/session/housekeeping.py
@@ -0,0 +1,114 @@
+"""Housekeeping: what is done every quarter of a second, each job a method of its own.
+
+It owns no state but when it last ran. What it concludes of a peer belongs to the part that owns the peer.
+"""
+
+from __future__ import annotations
+
+from .. import interface as i
+from .limits import (
+    FAULTS_FORGIVEN,
+    HALF_READ_US,
+    HOLD_RELEASE_US,
+    LATE_SWEEP_US,
+    MUTE_US,
+    SPEAK_US,
+    STANDING_RELEASE_US,
+    STUCK_US,
+    SWEEP_US,
+)
+from .part import Part
+from .state import Caller, Link, Stream
+from .timers import TimerKind
+from .trace import CloseReason
+
+
+class Housekeeping(Part):
+    """Ends what has been silent or stuck for too long, and drops what is too old."""
+
+    def __init__(self) -> None:
+        self.swept_us = 0  # when it last ran
+        self.was_late = False  # whether that was late
+
+    def sweep(self) -> None:
+        """Do all jobs once, and again after `SWEEP_US`."""
+        self.timers.set(SWEEP_US, TimerKind.SWEEP)
+        in_time = self._is_in_time()
+        self.channel.check()
+        for stream in (*self.callers.by_stream.values(), *self.links.by_stream.values()):
+            self._check_releases(stream)
+            self._check_write(stream)
+        for caller in list(self.callers.by_stream.values()):
+            self._check_caller(caller)
+        if in_time:
+            for link in list(self.links.by_stream.values()):
+                self._check_link(link)
+            for exchange in list(self.exchanges.by_id.values()):
+                self.liveness.check(exchange)
+        self._end_old_settings()
+        self._send_held_releases()
+        self._forget()
+
+    def _is_in_time(self) -> bool:
+        """Guards against a stop of this process that would be taken for the silence of all others: what they have
+        sent meanwhile lies unread. One late sweep draws no conclusions, the next one does."""
+        late = bool(self.swept_us) and self.core.now - self.swept_us > SWEEP_US + LATE_SWEEP_US
+        self.swept_us = self.core.now
+        self.was_late = late and not self.was_late
+        return not self.was_late
+
+    def _check_releases(self, stream: Stream) -> None:
+        """Send what is not confirmed another way, and forget what has arrived for all that is known."""
+        if isinstance(stream, Caller):
+            self.callers.send_again(stream)
+        for ident in self.writing.settled_releases(stream):
+            del stream.unconfirmed[ident]
+
+    def _check_write(self, stream: Stream) -> None:
+        """Close a connection that has taken nothing in for too long."""
+        if stream.in_flight and self.core.now - stream.write_began_us > STUCK_US:
+            self.writing.drop(stream, CloseReason.WRITE_STUCK)
+
+    def _check_link(self, link: Link) -> None:
+        """Close a link that misses what other links of its exchange hear."""
+        if not (link.up and link.missed_us) or link.ident not in self.links.by_stream:
+            return
+        links = self.exchanges.by_id[link.exchange].links.values()
+        missed_for_us = max(k.heard_us for k in links) - link.missed_us
+        if missed_for_us > MUTE_US and not self.liveness.is_last_witness(link):
+            self.links.drop_mute(link)
+
+    def _check_caller(self, caller: Caller) -> None:
+        """Close a connection whose message stays half read, or that has said nothing of use."""
+        caller.faults = max(0, caller.faults - FAULTS_FORGIVEN)
+        if caller.finishing:
+            return
+        if caller.half_us and self.core.now - caller.half_us > HALF_READ_US:
+            self.callers.shut(caller, "its message stays half read")
+        elif not caller.sent_anything and caller.idle and self.core.now - caller.accepted_us > SPEAK_US:
+            self.core.counters["callers_silent"] += 1
+            self.writing.drop(caller, CloseReason.SAID_NOTHING)
+
+    def _end_old_settings(self) -> None:
+        """The classes of the settings before count no more once their callers have given up."""
+        if self.classes.before and self.core.now > self.classes.before_until_us:
+            self.classes.use(self.classes.read, None)
+            self.core.events.append(i.SettingsChanged(self.classes.settings))
+
+    def _send_held_releases(self) -> None:
+        """Send releases that have waited long enough for a caller that has set up a call to any other."""
+        self.callers.unsent = [kept for kept in self.callers.unsent if kept[0] > self.core.now]
+        if not self.callers.unsent:
+            return
+        held_since_us = self.callers.unsent[0][0] - STANDING_RELEASE_US
+        best = self.callers.best()
+        if best is not None and self.core.now - held_since_us > HOLD_RELEASE_US:
+            self.callers.send_unsent(best)
+
+    def _forget(self) -> None:
+        """Drop releases that no link came up for, and the ids of calls that ended long ago."""
+        for exchange in self.exchanges.by_id.values():
+            exchange.unsent = [kept for kept in exchange.unsent if kept[0] > self.core.now]
+        over = self.calls.over
+        while over and (first := next(iter(over.items())))[1].until_us <= self.core.now:
+            del over[first[0]]
--- a/latchturn/session/limits.py
+++ b/latchturn/session/limits.py
@@ -26,6 +26,7 @@
 SWEEP_US = SECOND // 4
 OVER_MOST = 20_000  # ids of set-ups turned down as they come are kept while no more are remembered
 FORGET_US = 10 * SECOND  # ids of ended calls are kept so long, to know late messages
+LATE_SWEEP_US = SECOND // 4  # a sweep so late shows that this process has stood still
 MAX_OUTBOX = 2000  # messages
 WRITE_BATCH = 100  # messages
 COPY_US = SECOND // 4  # a group state is told on all links of an exchange within that
--- a/latchturn/session/liveness.py
+++ b/latchturn/session/liveness.py
@@ -37,8 +37,8 @@
     def connected(self, exchange: Exchange) -> None:
         """A link has come up. It proves something only of an exchange that sends no group states, by which
         any other process shows itself on each new link."""
-        exchange.broke = False
-        if not exchange.told_once:
+        exchange.link_broke = False
+        if not exchange.sends_group_states:
             exchange.heard_us = self.core.now
             self._prove(exchange)
 
@@ -57,7 +57,7 @@
         idle = [other for other in exchange.links.values() if other.up]
         # One that refuses further links may only have enough of them, if another link still tells something.
         silent = exchange.standing and self.core.now - exchange.alive_us >= PROBE_AFTER_US
-        if not (exchange.broke or not idle or silent):
+        if not (exchange.link_broke or not idle or silent):
             return
         if exchange.state is not i.ListState.READY:
             # One that drains takes no links, and its calls go on, but not for long.
@@ -79,7 +79,7 @@
     def broken(self, link: Link) -> None:
         """The peer ended a link. Those kept are reconnected at once, which tells whether it has died."""
         if link.slot < KEPT:
-            self.exchanges.by_id[link.exchange].broke = True
+            self.exchanges.by_id[link.exchange].link_broke = True
 
     def reset(self, link: Link) -> None:
         """The peer reset a link; called while the link is still entered.
@@ -114,8 +114,8 @@
 
     def _is_owed_ends(self, exchange: Exchange) -> bool:
         """Whether ends of calls may have been told on links that we have closed, and it is time to ask for them."""
-        exchange.untold &= exchange.standing
-        return bool(exchange.untold) and self.core.now - exchange.asked_us >= ASK_ENDS_US
+        exchange.possibly_ended &= exchange.standing
+        return bool(exchange.possibly_ended) and self.core.now - exchange.asked_us >= ASK_ENDS_US
 
     def _silent(self, exchange: Exchange) -> None:
         """Its calls are over, as far as their callers are concerned. Should it live, it is told so too."""
@@ -161,7 +161,7 @@
         does not know to be closed is lost.
         """
         exchange.probed_us = self.core.now
-        if any(not k.up or (exchange.told_once and not k.heard_us) for k in exchange.links.values()):
+        if any(not k.up or (exchange.sends_group_states and not k.heard_us) for k in exchange.links.values()):
             return
         slot = next((k for k in reversed(range(SLOTS)) if k not in exchange.links), None)
         if slot is None:
@@ -183,7 +183,7 @@
         """Guards the calls of an exchange that may tell their end on a link which we have closed, not knowing that
         nobody listens: on that of the set-up, or any other. It tells it on the next link that is opened, too."""
         exchange = self.exchanges.by_id[link.exchange]
-        exchange.untold |= exchange.standing
+        exchange.possibly_ended |= exchange.standing
         exchange.asked_us = self.core.now
 
     @staticmethod
--- a/latchturn/session/part.py
+++ b/latchturn/session/part.py
@@ -13,12 +13,12 @@
     from .classes import Classes
     from .core import Core
     from .exchanges import Exchanges
+    from .housekeeping import Housekeeping
     from .links import Links
     from .liveness import Liveness
     from .module import Module
     from .phases import Phases
     from .timers import Timers
-    from .upkeep import Upkeep
     from .writing import Writing
 
 
@@ -38,7 +38,7 @@
     exchanges: Exchanges
     channel: Channel
     phases: Phases
-    upkeep: Upkeep
+    housekeeping: Housekeeping
 
     def meet(self, parts: Mapping[str, object]) -> None:
         """Know the other parts; called once, before the first input."""
--- a/latchturn/session/phases.py
+++ b/latchturn/session/phases.py
@@ -124,7 +124,9 @@
             return False
         if self.core.now - self.started_us >= READY_MOST_US:
             return True
-        return all(e.told_once or e.failures or not self.exchanges.usable(e) for e in self.exchanges.by_id.values())
+        return all(
+            e.sends_group_states or e.failures or not self.exchanges.usable(e) for e in self.exchanges.by_id.values()
+        )
 
     def drain(self, refuse_us: float, last_us: float) -> None:
         """Send all callers away, each once nothing of its is open. New set-ups are refused from a moment on;
--- a/latchturn/session/reducer.py
+++ b/latchturn/session/reducer.py
@@ -21,6 +21,7 @@
 from .classes import Classes
 from .core import Core
 from .exchanges import Exchanges
+from .housekeeping import Housekeeping
 from .links import Links
 from .liveness import Liveness
 from .module import Module
@@ -29,7 +30,6 @@
 from .state import Attempt, Call, Exchange, Link
 from .timers import TimerKind, Timers
 from .trace import CloseReason
-from .upkeep import Upkeep
 from .words import (
     Accepted,
     Bequeathed,
@@ -77,7 +77,7 @@
         self.exchanges = Exchanges()
         self.channel = Channel()
         self.phases = Phases()
-        self.upkeep = Upkeep()
+        self.housekeeping = Housekeeping()
         parts = dict(vars(self))
         for part in parts.values():
             if isinstance(part, Part):
@@ -250,7 +250,7 @@
         elif kind is TimerKind.DRAIN and what == self.phases.drains:
             self.phases.send_away()
         elif kind is TimerKind.SWEEP:
-            self.upkeep.sweep()
+            self.housekeeping.sweep()
 
     def figures(self) -> dict[str, int]:
         """Every figure as it is now, by its name."""
--- a/latchturn/session/state.py
+++ b/latchturn/session/state.py
@@ -92,7 +92,7 @@
     in_flight: list[Outgoing] = field(default_factory=list)
     write_began_us: int = 0
     half_us: int = 0  # since when its input ends within a message, 0 if it does not
-    unheard: dict[int, tuple[int, Release]] = field(default_factory=dict)  # call -> when written, what
+    unconfirmed: dict[int, tuple[int, Release]] = field(default_factory=dict)  # call -> when written, what
 
     def move(self, move: StreamMove) -> None:
         """Go on to the next state; ImpossibleMove if the table has none."""
@@ -105,7 +105,7 @@
     owed: set[int] = field(default_factory=set)  # calls set up on it that have no final answer
     accepted_us: int = 0
     active_us: int = 0
-    told: bool = False  # whether it has been sent anything
+    sent_anything: bool = False  # whether it has been sent anything
     trust: int = 0  # 1 once it has sent a set-up that can be used, 2 once a call of its has stood
     faults: int = 0  # messages of no use lately
     closing: CloseReason | None = None  # why it is asked to be closed once nothing lies unread on it
@@ -133,7 +133,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Told:
+class SeenGroupState:
     """A group state, and the links on which it has been heard."""
 
     at_us: int
@@ -157,13 +157,13 @@
     quiet: bool = False  # whether it has been noted as quiet since then
     probed_us: int = 0  # when a link was last opened for a sign of life
     reset_us: int = 0  # when it last reset a link
-    untold: set[int] = field(default_factory=set)  # calls that stood as a link was closed from our side
+    possibly_ended: set[int] = field(default_factory=set)  # calls that stood as a link was closed from our side
     asked_us: int = 0  # when a link was last closed so, or opened to hear of their ends
     failures: int = 0  # connections in a row that came to nothing
     retry_us: int = 0
     refused_us: int = 0  # since when it has refused links while it drains, else 0
-    broke: bool = False  # the peer ended the first link, and none has come up since
+    link_broke: bool = False  # the peer ended the first link, and none has come up since
     standing: set[int] = field(default_factory=set)
-    told: deque[Told] = field(default_factory=deque)  # group states lately
-    told_once: bool = False  # whether a group state has ever come
+    group_states: deque[SeenGroupState] = field(default_factory=deque)  # group states lately
+    sends_group_states: bool = False  # whether a group state has ever come
     unsent: list[tuple[int, Release]] = field(default_factory=list)  # releases that wait for a link
--- a/latchturn/session/writing.py
+++ b/latchturn/session/writing.py
@@ -22,7 +22,7 @@
         """Releases which a closed connection has perhaps not carried, and which still mean something: to a caller
         those of calls that stood, to an exchange those of any call that is over."""
         waiting = [m for m in (*stream.in_flight, *stream.outbox) if isinstance(m, Release)]
-        lately = [m for at, m in stream.unheard.values() if at > self._unproved_since(stream)]
+        lately = [m for at, m in stream.unconfirmed.values() if at > self._unproved_since(stream)]
         releases = {m.call: m for m in (*lately, *waiting)}
         if isinstance(stream, Link):
             for ident in releases.keys() & self.calls.by_id.keys():
@@ -40,7 +40,7 @@
     def settled_releases(self, stream: Stream) -> list[int]:
         """The calls whose releases on a stream are held to have arrived, though nothing has confirmed them."""
         since = self._unproved_since(stream)
-        return [call for call, (at, _) in stream.unheard.items() if at <= since]
+        return [call for call, (at, _) in stream.unconfirmed.items() if at <= since]
 
     def peer_done(self, stream: int, reason: CloseReason = CloseReason.PEER_ENDED) -> None:
         """Nothing more comes in on a stream. A caller still gets the answers that it is owed."""
@@ -91,7 +91,7 @@
             stream.in_flight.append(item)
         if messages:
             if isinstance(stream, Caller):
-                stream.told = stream.told or not all(isinstance(m, ReleaseHeard) for m in messages)
+                stream.sent_anything = stream.sent_anything or not all(isinstance(m, ReleaseHeard) for m in messages)
             stream.write_began_us = self.core.now
             self.core.effects.append(Write(stream.ident, tuple(messages)))
 
@@ -103,14 +103,14 @@
         for item in items:
             if isinstance(item, GiveUpDue):
                 call = item.attempt.call.ident
-                stream.unheard[call] = (self.core.now, Release(call, ReleaseCause.NORMAL))
+                stream.unconfirmed[call] = (self.core.now, Release(call, ReleaseCause.NORMAL))
                 if item.attempt.call.attempt is item.attempt:
                     self.attempts.end(item.attempt, i.Outcome.TIMED_OUT)
             elif isinstance(item, Attempt):
                 item.state = ATTEMPT.go(item.state, AttemptMove.WRITTEN)
                 self.core.counters["forwards"] += 1
             elif isinstance(item, Release):
-                stream.unheard[item.call] = (self.core.now, item)
+                stream.unconfirmed[item.call] = (self.core.now, item)
         self.ready[ident] = stream
         if isinstance(stream, Caller):
             self.callers.close_if_finished(stream)
--- a/rig/proxy.py
+++ b/rig/proxy.py
@@ -93,11 +93,16 @@
         """Something listens at the address again."""
         await self.listener.open()
 
-    def reset_some(self, share: float) -> None:
-        """Reset some of the connections."""
+    def break_some(self, share: float, abort: bool) -> None:
+        """Reset some of the connections, or close them."""
         for link in list(self.links):
             if not link.lost and self.random.random() < share:
-                self.end_link(link, AttemptEnd.BROKEN, abort=True)
+                self.end_link(link, AttemptEnd.BROKEN, abort)
+
+    def forget_some(self, share: float) -> None:
+        """The network forgets some of the connections: they stay open, and nothing passes any more."""
+        for link in self.links:
+            link.lost = link.lost or self.random.random() < share
 
     # --- connections ---
 
--- a/rig/record.py
+++ b/rig/record.py
@@ -102,4 +102,5 @@
     processes: list[Process] = field(default_factory=list)
     faults: list[tuple[int, str]] = field(default_factory=list)
     strange: list[str] = field(default_factory=list)  # messages to clients that nobody can explain
+    stall_us: int = 0  # by how much the trial itself was late at the most: the error of its times
     ended_us: int = 0
--- a/rig/soak.py
+++ b/rig/soak.py
@@ -44,6 +44,7 @@
         "answered": sum(bool(call.answered_us) for call in calls),
         "ended": sum(bool(s.ended_us) for s in record.standing.values()),
         "processes": len(record.processes),
+        "stall_ms": record.stall_us // 1000,
         "slowest_end_ms": rules.slowest_end_ms(record),
         "early_cuts": rules.early_cuts(record),
         "violations": [f"{v.rule} at {_seconds(record, v.at_us)}: {v.text}" for v in violations],
@@ -94,6 +95,7 @@
     shown = (
         "seed", "families", "wait_ms", "crowd", "calls", "answered", "ended", "processes", "early_cuts",
         "slowest_end_ms",
+        "stall_ms",
     )  # fmt: skip
     print(" ".join(f"{name}={report.get(name)}" for name in shown), flush=True)
     for kind in ("faults", "violations"):
--- a/rig/trial.py
+++ b/rig/trial.py
@@ -23,6 +23,7 @@
 FIRST_IDENT = 101
 NEW_CONNECTIONS_S = 0.3  # after SIGTERM
 TRACE_EVERY_S = 2.0
+WATCH_S = 0.01
 SETTLE_S = 1.0  # between readiness and the first fault
 
 
@@ -65,6 +66,7 @@
                 for _ in range(self.crowd):
                     self.nursery.start_soon(self.loiter)
                 self.nursery.start_soon(self.keep_traces)
+                self.nursery.start_soon(self.watch_itself)
                 await trio.sleep(SETTLE_S)
                 await scenario(self)
                 await trio.sleep(tail_s)
@@ -116,6 +118,14 @@
             if self.program.current.ready_us:
                 self.program.send(signal.SIGUSR1)
 
+    async def watch_itself(self) -> None:
+        """Measure by how much this process is late: on a busy machine its times are off by as much."""
+        while True:
+            before = now_us()
+            await trio.sleep(WATCH_S)
+            late = now_us() - before - int(WATCH_S * SECOND)
+            self.record.stall_us = max(self.record.stall_us, late)
+
     async def loiter(self) -> None:
         """One connection of a crowd: idle, or half written."""
         while True:
@@ -223,7 +233,7 @@
         self.note(f"{site.ident} dies")
         site.kill()
         site.proxy.refuse()
-        site.proxy.reset_some(1.0)
+        site.proxy.break_some(1.0, abort=True)
         await self._replace(site, told_after_s, back_after_s, same_address)
 
     async def _replace(self, old: Site, told_after_s: float, back_after_s: float, same_address: bool) -> None:
@@ -275,10 +285,14 @@
         if site is self.sites[number]:
             site.proxy.listener.hear()
 
-    def reset_links(self, number: int, share: float) -> None:
-        """Some connections to an exchange are reset."""
-        self.note(f"{share:.0%} of the links to {self.sites[number].ident} reset")
-        self.sites[number].proxy.reset_some(share)
+    def break_links(self, number: int, share: float, how: str) -> None:
+        """Some connections to an exchange are reset, closed or forgotten."""
+        self.note(f"{share:.0%} of the links to {self.sites[number].ident}: {how}")
+        proxy = self.sites[number].proxy
+        if how == "forget":
+            proxy.forget_some(share)
+        else:
+            proxy.break_some(share, abort=how == "reset")
 
     def spoil(self, **changes: float) -> None:
         """Have the exchanges act otherwise from now on."""
