Ask for ends soon after a close of ours, hold no release twice; aim a planted fault again

(3) the planted fault ends-too-soon was no longer caught: the program now answers all that is open as it closes for the end, so the fault is planted where it decides to end.

--- a/latchturn/checking/plants.py
+++ b/latchturn/checking/plants.py
@@ -329,7 +329,7 @@
 
 @_fault("operators", "after SIGTERM the program ends though calls are open")
 def _ends_too_soon() -> None:
-    _change(phases.Phases, "finished", lambda _: lambda s: s.core.now > s.term_us)
+    _change(phases.Phases, "closed_for_the_end", lambda _: lambda s: s.core.now > s.term_us)
 
 
 @_fault("operators", "after SIGTERM the program waits for ever")
--- a/latchturn/session/callers.py
+++ b/latchturn/session/callers.py
@@ -16,6 +16,7 @@
     FRESH_US,
     HEARD_MOST_US,
     HEARD_US,
+    HOLD_RELEASE_US,
     LINKS_KEPT,
     OPEN_MOST,
     STANDING_RELEASE_US,
@@ -190,7 +191,10 @@
         caller = self.by_stream.get(preferred)
         if caller is None or caller.finishing:
             caller = self.best()
-        if caller is None or not caller.trust:
+        over = self.calls.over.get(release.call)
+        # One that has been told on connections which closed since has waited long enough already.
+        urgent = over is not None and self.core.now - (over.until_us - FORGET_US) >= HOLD_RELEASE_US
+        if caller is None or not (caller.trust or urgent):
             self.core.note(TraceEvent.RELEASE_HELD, call=release.call)
             self.unsent.append((self.core.now + STANDING_RELEASE_US, release))
         else:
--- a/latchturn/session/liveness.py
+++ b/latchturn/session/liveness.py
@@ -181,10 +181,11 @@
 
     def closed_by_us(self, link: Link) -> None:
         """Guards the calls of an exchange that may tell their end on a link which we have closed, not knowing that
-        nobody listens: on that of the set-up, or any other. It tells it on the next link that is opened, too."""
+        nobody listens: on that of the set-up, or any other. It tells it on the next link that is opened, too, so one
+        is opened with the next sweep, and again as long as such calls stand."""
         exchange = self.exchanges.by_id[link.exchange]
         exchange.possibly_ended |= exchange.standing
-        exchange.asked_us = self.core.now
+        exchange.asked_us = self.core.now - ASK_ENDS_US
 
     @staticmethod
     def _old_links(exchange: Exchange) -> list[Link]:
--- a/rig/exchange.py
+++ b/rig/exchange.py
@@ -8,7 +8,9 @@
 
 import contextlib
 import json
+import os
 import random
+import socket
 import sys
 from collections import deque
 from dataclasses import asdict, dataclass, fields
@@ -114,7 +116,10 @@
     # --- connections ---
 
     async def serve(self, sock: trio.socket.SocketType) -> None:
-        """One connection, from its group state to its end."""
+        """One connection, from its group state to its end; one that has ended in the queue was never open."""
+        if self.has_ended(sock):
+            sock.close()
+            return
         self.accepted += 1
         connection = Connection(sock, self.accepted, deque(), trio.Event())
         self.connections.append(connection)
@@ -128,6 +133,17 @@
             nursery.cancel_scope.cancel()
         self.drop(connection)
 
+    @staticmethod
+    def has_ended(sock: trio.socket.SocketType) -> bool:
+        """Whether the peer has closed or reset a connection already."""
+        with socket.socket(fileno=os.dup(sock.fileno())) as look:
+            try:
+                return not look.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            except BlockingIOError:
+                return False
+            except OSError:
+                return True
+
     async def read(self, connection: Connection) -> None:
         """Hear messages until the connection ends."""
         decoder = p.message_decoder()
--- a/rig/rules.py
+++ b/rig/rules.py
@@ -22,6 +22,7 @@
 LIST_TOLD_US = 6 * SECOND  # after discovery had a change and could be reached
 ANSWER_RACE_US = 200 * MILLISECOND  # an answer so near to the death of its exchange may not have arrived
 ANSWERED_LEAST = 50
+REPORTED_US = 500 * MILLISECOND  # what an exchange has done so lately may not have been reported at the end
 FAULT_MARKS = ("Traceback", "fault, call")
 
 
@@ -78,7 +79,7 @@
     """An answer is what an exchange made for this call."""
     made = {call for _, call in record.standing}
     for call in record.calls.values():
-        if call.answered_us and not call.bad:
+        if call.answered_us and not call.bad and call.answered_us < record.ended_us - REPORTED_US:
             words = call.description.split()
             if call.ident not in made or len(words) < 3 or not words[2].startswith(b"%016x" % call.ident):
                 yield Violation("lost", call.answered_us, f"{_name(call)}: nobody made {call.description!r}")
@@ -109,6 +110,8 @@
         if not call.released_us or call.released_us > due:
             told = (call.released_us - standing.ended_us) // 1000 if call.released_us else -1
             text = f"{_name(call)} at {standing.exchange}: told {told} ms after its end (-1: never)"
+            if standing.by_program:
+                text += ", released by the program"
             if standing.delivered_us:
                 late = (standing.delivered_us - standing.ended_us) // 1000
                 text += f", passed to the program {late} ms after it on link {standing.delivered_on}"
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -92,6 +92,17 @@
         written = desk.hear(self.link[1], p.Release(5, GIVE_UP))
         self.assertIn((2, p.Release(5, GIVE_UP)), written)
 
+    def test_a_release_whose_connections_close_one_after_another_is_held_for_no_better_one(self) -> None:
+        desk = self.desk
+        desk.stand(5)
+        for stream in (2, 3):
+            desk.do(s.Accepted(stream))
+        desk.hear(self.link[1], p.Release(5, GIVE_UP))
+        desk.do(s.Closed(1))
+        desk.pass_time(limits.HOLD_RELEASE_US + limits.SWEEP_US)
+        self.assertIn((2, p.Release(5, GIVE_UP)), desk.written)
+        self.assertEqual(desk.do(s.Closed(2)), [(3, p.Release(5, GIVE_UP))])
+
     def test_a_callers_release_reaches_the_exchange_even_over_a_new_link(self) -> None:
         self.desk.stand(5)
         self.desk.do(s.Closed(self.link[1]))
