--- a/latchturn/session/limits.py
+++ b/latchturn/session/limits.py
@@ -17,6 +17,7 @@
 SILENT_US = 6_750_000  # without a message for so long: the exchange's standing calls are over
 PROBE_AFTER_US = 4_500_000  # quiet for so long: a link is opened, which an exchange that lives answers at once
 PROBE_EVERY_US = 650_000  # longer than the usual connect time-out, and three fit before `SILENT_US`
+ASKS = 2  # links opened for ends of calls that may have been told on a link that we have closed
 ASK_ENDS_US = 5 * SECOND  # between two links that are opened for ends of calls told on links that we have closed
 RESET_TOGETHER_US = 500_000
 EXCHANGE_RELEASE_US = 60 * SECOND  # a release that waits for a link to its exchange is dropped then
--- a/latchturn/session/liveness.py
+++ b/latchturn/session/liveness.py
@@ -13,7 +13,17 @@
 
 from .. import interface as i
 from ..protocol import Release, ReleaseCause
-from .limits import ASK_ENDS_US, DRAINED_US, KEPT, PROBE_AFTER_US, PROBE_EVERY_US, RESET_TOGETHER_US, SILENT_US, SLOTS
+from .limits import (
+    ASK_ENDS_US,
+    ASKS,
+    DRAINED_US,
+    KEPT,
+    PROBE_AFTER_US,
+    PROBE_EVERY_US,
+    RESET_TOGETHER_US,
+    SILENT_US,
+    SLOTS,
+)
 from .part import Part
 from .state import Exchange, Link
 from .trace import CloseReason, TraceEvent
@@ -108,14 +118,9 @@
             self.calls.cut(exchange, self.core.now + 1, "has drained and refused links")
         elif silent_us >= PROBE_AFTER_US and self.core.now - exchange.probed_us >= PROBE_EVERY_US:
             self._probe(exchange)
-        elif self._is_owed_ends(exchange):
-            exchange.asked_us = self.core.now
-            self._open_link(exchange)
-
-    def _is_owed_ends(self, exchange: Exchange) -> bool:
-        """Whether ends of calls may have been told on links that we have closed, and it is time to ask for them."""
-        exchange.possibly_ended &= exchange.standing
-        return bool(exchange.possibly_ended) and self.core.now - exchange.asked_us >= ASK_ENDS_US
+        elif exchange.asks_left and self.core.now >= exchange.ask_us and self._open_link(exchange):
+            exchange.asks_left -= 1
+            exchange.ask_us = self.core.now + ASK_ENDS_US
 
     def _silent(self, exchange: Exchange) -> None:
         """Its calls are over, as far as their callers are concerned. Should it live, it is told so too."""
@@ -153,8 +158,8 @@
             self.core.note(TraceEvent.EXCHANGE_QUIET, exchange=exchange.ident, reason=reason)
         self._open_link(exchange)
 
-    def _open_link(self, exchange: Exchange) -> None:
-        """Open a further link, unless one is coming up already or has told nothing yet.
+    def _open_link(self, exchange: Exchange) -> bool:
+        """Open a further link, unless one is coming up already or has told nothing yet; whether that was done.
 
         What comes first on it proves that the exchange lives, and calls that have ended are told there. The links
         that are open stay so: a hung exchange will speak on them when it goes on, and what it tells on one that it
@@ -162,12 +167,15 @@
         """
         exchange.probed_us = self.core.now
         if any(not k.up or (exchange.sends_group_states and not k.heard_us) for k in exchange.links.values()):
-            return
+            return False
         slot = next((k for k in reversed(range(SLOTS)) if k not in exchange.links), None)
         if slot is None:
             slot = self._make_room(exchange)
-        if slot is not None and slot not in exchange.links:
+        if slot is None:
+            return False
+        if slot not in exchange.links:  # a kept one is opened anew by its close
             self.links.connect(exchange, slot)
+        return True
 
     def _make_room(self, exchange: Exchange) -> int | None:
         """Close the link that is worth least: one without calls, and not the last one from before."""
@@ -181,11 +189,12 @@
 
     def closed_by_us(self, link: Link) -> None:
         """Guards the calls of an exchange that may tell their end on a link which we have closed, not knowing that
-        nobody listens: on that of the set-up, or any other. It tells it on the next link that is opened, too, so one
-        is opened with the next sweep, and again as long as such calls stand."""
+        nobody listens: on that of the set-up, or any other. It tells it on the next link that is opened, too. So one
+        is opened with the next sweep, and once more after some time, since an exchange that hung takes its
+        connections, its closes and its ends in any order as it goes on."""
         exchange = self.exchanges.by_id[link.exchange]
-        exchange.possibly_ended |= exchange.standing
-        exchange.asked_us = self.core.now - ASK_ENDS_US
+        if exchange.standing:
+            exchange.asks_left, exchange.ask_us = ASKS, self.core.now
 
     @staticmethod
     def _old_links(exchange: Exchange) -> list[Link]:
--- a/latchturn/session/state.py
+++ b/latchturn/session/state.py
@@ -157,8 +157,8 @@
     quiet: bool = False  # whether it has been noted as quiet since then
     probed_us: int = 0  # when a link was last opened for a sign of life
     reset_us: int = 0  # when it last reset a link
-    possibly_ended: set[int] = field(default_factory=set)  # calls that stood as a link was closed from our side
-    asked_us: int = 0  # when a link was last closed so, or opened to hear of their ends
+    asks_left: int = 0  # links that are still to be opened, to hear of ends told on links that we have closed
+    ask_us: int = 0  # when the next one is
     failures: int = 0  # connections in a row that came to nothing
     retry_us: int = 0
     refused_us: int = 0  # since when it has refused links while it drains, else 0
--- a/latchturn/session/writing.py
+++ b/latchturn/session/writing.py
@@ -120,7 +120,8 @@
         self.note_closed(stream, reason)
         self.core.effects.append(Close(stream.ident))
         if isinstance(stream, Link):
-            if reason is not CloseReason.PEER_ENDED:
+            # One that makes room is followed by the next at once, on which ends that crossed the close are told too.
+            if reason is not CloseReason.PEER_ENDED and reason is not CloseReason.PROBED:
                 self.liveness.closed_by_us(stream)
             self.links.lose(stream)
         elif isinstance(stream, Caller):
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -168,6 +168,21 @@
         desk.pass_time_in_touch(12 * SECOND)
         self.assertEqual(len(desk.connects), connects + 2)
 
+    def test_asking_for_ends_closes_no_links_that_make_it_ask_again(self) -> None:
+        # On a bench day links were closed four times a second, each to make room for the next one.
+        desk = self.desk
+        for k in range(3):
+            desk.stand(10 + k)
+        desk.do(s.HalfRead(desk.link[1], True))
+        connects, done = len(desk.connects), len(desk.connects)
+        for _ in range(60):
+            desk.pass_time_in_touch(SECOND // 4, SECOND // 4)
+            for asked in desk.connects[done:]:
+                desk.do(s.Connected(asked.stream))
+                desk.hear(asked.stream, group_state(3))
+            done = len(desk.connects)
+        self.assertLessEqual(done - connects, 1 + 2 * limits.ASKS)
+
     def test_a_hung_exchange_keeps_its_links_though_set_ups_time_out_on_them(self) -> None:
         desk = self.desk
         for call in range(20, 26):
