Close no link only to ask for ends, and pass on no answer that another message completes

(2) a description that holds the head of a message for an open call, or of a group state, is a spoilt answer: the link is closed and the attempt ends as cut. Tests for both.

--- a/latchturn/protocol.py
+++ b/latchturn/protocol.py
@@ -10,7 +10,7 @@
 import json
 import re
 import struct
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from enum import IntEnum
 from pathlib import Path
@@ -210,6 +210,25 @@
     return HEAD.pack(length, kind, message.call) + body
 
 
+# What an exchange sends after an answer, by the type and the call behind the length of a message.
+FOLLOWING = (Type.ANSWER, Type.RELEASE, Type.PROGRESS, Type.RELEASE_HEARD)
+GROUP_STATE_HEAD = bytes([Type.GROUP_STATE]) + bytes(8)
+
+
+def holds_head_of_message(data: bytes, calls: Iterable[int]) -> bool:
+    """Whether bytes hold the head of a message for one of some calls, or of a group state.
+
+    An answer that stopped short is completed by the bytes of the message behind it; its lengths are right all the same.
+    """
+    if GROUP_STATE_HEAD in data:
+        return True
+    for call in calls:
+        at = data.find(call.to_bytes(8, "big"), 1)
+        if at > 0 and data[at - 1] in FOLLOWING:
+            return True
+    return False
+
+
 T = TypeVar("T")
 
 
--- a/latchturn/session/exchanges.py
+++ b/latchturn/session/exchanges.py
@@ -17,6 +17,7 @@
     ReleaseHeard,
     Test,
     TestResult,
+    holds_head_of_message,
 )
 from .limits import COPY_US, EXCHANGE_RELEASE_US
 from .machines import CALL, AttemptState, CallMove
@@ -131,7 +132,10 @@
         attempt = call.attempt if call is not None else None
         if attempt is not None and (attempt.link is not link or attempt.given_up or not attempt.sent):
             attempt = None
-        if isinstance(message, Answer):
+        if isinstance(message, Answer) and self.is_spliced(exchange, link, message):
+            self.core.counters["garbled"] += 1
+            self.writing.peer_done(link.ident, CloseReason.GARBLED)
+        elif isinstance(message, Answer):
             self.answered(exchange, link, message, attempt)
         elif isinstance(message, Release):
             self.released(exchange, link, message, attempt)
@@ -151,6 +155,15 @@
             self.core.counters["garbled"] += 1
             self.writing.peer_done(link.ident, CloseReason.GARBLED)
 
+    @staticmethod
+    def is_spliced(exchange: Exchange, link: Link, answer: Answer) -> bool:
+        """Whether an answer stopped short and goes on with the message behind it.
+
+        Guards against passing on a description that no exchange made: with the answer spoilt, its attempt ends as cut.
+        """
+        calls = {answer.call, *exchange.standing, *(attempt.call.ident for attempt in link.attempts)}
+        return holds_head_of_message(answer.description, calls)
+
     def is_copy(self, exchange: Exchange, link: Link, figures: Mapping[str, float]) -> bool:
         """Whether a group state has been heard on another link already: it comes on each that is open.
 
--- a/latchturn/session/liveness.py
+++ b/latchturn/session/liveness.py
@@ -156,9 +156,9 @@
             silent_ms = (self.core.now - exchange.alive_us) // 1000
             reason = f"{len(exchange.standing)} calls stand, nothing heard for {silent_ms} ms"
             self.core.note(TraceEvent.EXCHANGE_QUIET, exchange=exchange.ident, reason=reason)
-        self._open_link(exchange)
+        self._open_link(exchange, may_close=True)
 
-    def _open_link(self, exchange: Exchange) -> bool:
+    def _open_link(self, exchange: Exchange, may_close: bool = False) -> bool:
         """Open a further link, unless one is coming up already or has told nothing yet; whether that was done.
 
         What comes first on it proves that the exchange lives, and calls that have ended are told there. The links
@@ -170,22 +170,24 @@
             return False
         slot = next((k for k in reversed(range(SLOTS)) if k not in exchange.links), None)
         if slot is None:
-            slot = self._make_room(exchange)
-        if slot is None:
-            return False
-        if slot not in exchange.links:  # a kept one is opened anew by its close
-            self.links.connect(exchange, slot)
+            return may_close and self._reopen_one(exchange)
+        self.links.connect(exchange, slot)
         return True
 
-    def _make_room(self, exchange: Exchange) -> int | None:
-        """Close the link that is worth least: one without calls, and not the last one from before."""
+    def _reopen_one(self, exchange: Exchange) -> bool:
+        """Open a link in the place of the one that is worth least: without calls, and not the last from before.
+
+        Only of an exchange that has been quiet: on any other, what it is just sending on that link would be lost.
+        """
         needed = {self.calls.by_id[k].link for k in exchange.standing}
-        idle = [k for k in exchange.links.values() if not k.attempts and not self.is_last_witness(k)]
+        idle = [k for k in exchange.links.values() if not (k.attempts or k.half_us or self.is_last_witness(k))]
         if not idle:
-            return None
+            return False
         least = min(idle, key=lambda k: (k.ident in needed, k.slot < KEPT, k.heard_us))
         self.writing.drop(least, CloseReason.PROBED)
-        return least.slot
+        if least.slot not in exchange.links:  # a kept one is opened anew by its close
+            self.links.connect(exchange, least.slot)
+        return True
 
     def closed_by_us(self, link: Link) -> None:
         """Guards the calls of an exchange that may tell their end on a link which we have closed, not knowing that
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -274,6 +274,30 @@
         self.assertEqual(desk.closed, [1])
 
 
+class Spliced(unittest.TestCase):
+    """An answer that stopped short, completed by the bytes of the message behind it."""
+
+    def test_it_is_not_passed_on_and_its_link_is_closed(self) -> None:
+        behind = (p.Answer(6, b"v=0"), p.Release(4, GIVE_UP), group_state(7), p.ReleaseHeard(4), p.Answer(5, b"v=0"))
+        for message in behind:
+            desk = Desk()
+            desk.stand(4)
+            desk.hear(1, set_up(6))
+            desk.hear(1, set_up(5))
+            spliced = p.Answer(5, b"v=0" + p.encode(message))
+            written = desk.hear(desk.link[1], spliced)
+            self.assertNotIn((1, spliced), written)
+            self.assertIn(desk.link[1], desk.closed)
+
+    def test_any_other_description_is_passed_on(self) -> None:
+        for description in (b"\x00\xff" * 40, b"call 0000000000000006", (6).to_bytes(8, "big"), bytes(30)):
+            desk = Desk()
+            desk.hear(1, set_up(6))
+            desk.hear(1, set_up(5))
+            answer = p.Answer(5, description)
+            self.assertIn((1, answer), desk.hear(desk.link[1], answer))
+
+
 class Unsure(unittest.TestCase):
     """A connection breaks under a set-up, which may have been answered just before."""
 
