Hear ends told on lost links by one more link, and end those that none can tell

Cause, from a trace added for it (the rig's exchanges now report on which connection they tell an end, and the rig says what became of that one): an exchange tells an end on the link of the set-up and on the next link opened, once each. It hung, its links were reset on the way, and it went on: the first word went to the dead link, the second either to a link that had died in its queue, or to none, as the program opened no further link after a loss that it had not caused itself. Change: session/missed_ends.py owns this. When the link of a standing call is lost, by whom ever, or a new link brings its first word late (a hang), a further link is opened 0.25 s later, and each 5 s while calls without their own link stand. If a link is lost before all has come that an exchange says first (group state, then ends), calls whose own link was gone by then may have been told over there: they end 6.75 s after that was last heard, and are released at the exchange. A link that has never spoken while a later one has is closed. A link that says nothing no longer holds up the sign of life of others. Calls of a process that was replaced are asked for as well.

--- a/latchturn/session/calls.py
+++ b/latchturn/session/calls.py
@@ -131,10 +131,23 @@
 
     def cut(self, exchange: Exchange, before_us: int, why: str) -> None:
         """The calls that stood at an exchange before a moment are over, though it cannot say so."""
-        cut = [self.by_id[k] for k in sorted(exchange.standing) if self.by_id[k].stood_us < before_us]
-        if cut:
-            self.note_cut(exchange, cut, why)
-        for call in cut:
+        self._cut(exchange, self.stood_before(exchange, before_us), why)
+
+    def stood_before(self, exchange: Exchange, before_us: int) -> list[Call]:
+        """The calls that stood at an exchange before a moment, by id."""
+        calls = (self.by_id[ident] for ident in sorted(exchange.standing))
+        return [call for call in calls if call.stood_us < before_us]
+
+    def end_unheard(self, exchange: Exchange, calls: list[Call], why: str) -> None:
+        """Calls are taken to be over without a word from their exchange; should they go on there, it is told too."""
+        self._cut(exchange, calls, why)
+        for call in calls:
+            self.exchanges.release(exchange, Release(call.ident, ReleaseCause.NORMAL))
+
+    def _cut(self, exchange: Exchange, calls: list[Call], why: str) -> None:
+        if calls:
+            self.note_cut(exchange, calls, why)
+        for call in calls:
             self.end_standing(call, i.Outcome.CUT)
             self.callers.release(call.caller, Release(call.ident, ReleaseCause.TEMPORARY_FAILURE))
 
@@ -165,3 +178,5 @@
             call.state = CALL.go(call.state, CallMove.ANSWER)
             call.stands_at, call.stood_us = exchange, self.core.now
             self.exchanges.by_id[exchange].standing.add(ident)
+            # Its end may be told on the links of the process before, which are being closed.
+            self.missed_ends.collect_soon(self.exchanges.by_id[exchange])
--- a/latchturn/session/exchanges.py
+++ b/latchturn/session/exchanges.py
@@ -128,6 +128,9 @@
         self.liveness.heard(exchange, link)
         link.half_us = link.half_us and self.core.now
         link.heard_us, link.missed_us, link.mute = self.core.now, 0, 0
+        if not link.first_heard_us:
+            link.first_heard_us = self.core.now
+            self.missed_ends.first_word(exchange, link)
         call = self.calls.by_id.get(message.call)
         attempt = call.attempt if call is not None else None
         if attempt is not None and (attempt.link is not link or attempt.given_up or not attempt.sent):
--- a/latchturn/session/housekeeping.py
+++ b/latchturn/session/housekeeping.py
@@ -45,6 +45,7 @@
                 self._check_link(link)
             for exchange in list(self.exchanges.by_id.values()):
                 self.liveness.check(exchange)
+                self.missed_ends.check(exchange)
         self._end_old_settings()
         self._send_held_releases()
         self._forget()
@@ -71,13 +72,22 @@
 
     def _check_link(self, link: Link) -> None:
         """Close a link that misses what other links of its exchange hear."""
-        if not (link.up and link.missed_us) or link.ident not in self.links.by_stream:
+        if not link.up or link.ident not in self.links.by_stream or self.liveness.is_last_witness(link):
             return
-        links = self.exchanges.by_id[link.exchange].links.values()
-        missed_for_us = max(k.heard_us for k in links) - link.missed_us
-        if missed_for_us > MUTE_US and not self.liveness.is_last_witness(link):
+        if self._misses_group_states(link) or self._missed_its_turn(link):
             self.links.drop_mute(link)
 
+    def _misses_group_states(self, link: Link) -> bool:
+        """Whether a link has missed a group state for some time, while others go on to hear."""
+        links = self.exchanges.by_id[link.exchange].links.values()
+        return bool(link.missed_us) and max(k.heard_us for k in links) - link.missed_us > MUTE_US
+
+    def _missed_its_turn(self, link: Link) -> bool:
+        """Whether a link has never heard anything, while one that came up later has: exchanges speak first."""
+        links = self.exchanges.by_id[link.exchange].links.values()
+        later = [k.first_heard_us for k in links if k.up_us > link.up_us and k.first_heard_us]
+        return not link.heard_us and bool(later) and self.core.now - min(later) > MUTE_US
+
     def _check_caller(self, caller: Caller) -> None:
         """Close a connection whose message stays half read, or that has said nothing of use."""
         caller.faults = max(0, caller.faults - FAULTS_FORGIVEN)
--- a/latchturn/session/limits.py
+++ b/latchturn/session/limits.py
@@ -17,8 +17,12 @@
 SILENT_US = 6_750_000  # without a message for so long: the exchange's standing calls are over
 PROBE_AFTER_US = 4_500_000  # quiet for so long: a link is opened, which an exchange that lives answers at once
 PROBE_EVERY_US = 650_000  # longer than the usual connect time-out, and three fit before `SILENT_US`
-ASKS = 2  # links opened for ends of calls that may have been told on a link that we have closed
-ASK_ENDS_US = 5 * SECOND  # between two links that are opened for ends of calls told on links that we have closed
+# Links opened to hear ends of calls that were told on lost links.
+COLLECT_SOON_US = SECOND // 4  # after the loss of a link, or after a first word that came late
+COLLECT_EVERY_US = 5 * SECOND  # as long as calls stand whose own link is lost
+OPENING_US = SECOND // 4  # what an exchange says first on a new link has come so long after its first word
+LATE_WORD_US = SECOND // 2  # an exchange that says nothing on a new link for so long has hung
+UNHEARD_LINK_US = SECOND  # a link that says nothing for so long holds up no other that is to show a sign of life
 RESET_TOGETHER_US = 500_000
 EXCHANGE_RELEASE_US = 60 * SECOND  # a release that waits for a link to its exchange is dropped then
 # An exchange that drains and has refused links so long ago has ended its calls. Guards against another that
--- a/latchturn/session/links.py
+++ b/latchturn/session/links.py
@@ -85,10 +85,10 @@
         self.core.counters["connects_refused" if refused else "connects_timed_out"] += 1
         exchange = self.exchanges.by_id[link.exchange]
         self.writing.note_closed(link, CloseReason.CONNECT_REFUSED if refused else CloseReason.CONNECT_FAILED)
-        self.lose(link)
+        self.lose(link, CloseReason.CONNECT_FAILED)
         self.liveness.connect_failed(exchange, link, refused)
 
-    def lose(self, link: Link) -> None:
+    def lose(self, link: Link, reason: CloseReason) -> None:
         """The link is closed, and with that the set-ups on it are given up."""
         exchange = self.exchanges.by_id[link.exchange]
         link.move(StreamMove.CLOSE)
@@ -109,6 +109,8 @@
                 self.attempts.end(attempt, i.Outcome.TIMED_OUT if attempt.given_up else i.Outcome.CUT)
         for release in self.writing.unfinished_releases(link):
             self.exchanges.release(exchange, release)
+        if link.up_us:
+            self.missed_ends.link_lost(exchange, link, reason)
         # The first reconnect follows at once: a refusal tells at once that the process has died.
         pause = 0
         if exchange.failures:
--- a/latchturn/session/liveness.py
+++ b/latchturn/session/liveness.py
@@ -11,11 +11,10 @@
 
 from __future__ import annotations
 
+import math
+
 from .. import interface as i
-from ..protocol import Release, ReleaseCause
 from .limits import (
-    ASK_ENDS_US,
-    ASKS,
     DRAINED_US,
     KEPT,
     PROBE_AFTER_US,
@@ -23,6 +22,7 @@
     RESET_TOGETHER_US,
     SILENT_US,
     SLOTS,
+    UNHEARD_LINK_US,
 )
 from .part import Part
 from .state import Exchange, Link
@@ -118,59 +118,56 @@
             self.calls.cut(exchange, self.core.now + 1, "has drained and refused links")
         elif silent_us >= PROBE_AFTER_US and self.core.now - exchange.probed_us >= PROBE_EVERY_US:
             self._probe(exchange)
-        elif exchange.asks_left and self.core.now >= exchange.ask_us and self._open_link(exchange):
-            exchange.asks_left -= 1
-            exchange.ask_us = self.core.now + ASK_ENDS_US
 
     def _silent(self, exchange: Exchange) -> None:
         """Its calls are over, as far as their callers are concerned. Should it live, it is told so too."""
         if exchange.outage_us and exchange.heard_us >= exchange.outage_us:
             self._lost_track(exchange, "answers again on new links alone")
             return
-        standing = sorted(exchange.standing)
-        self.calls.cut(exchange, self.core.now + 1, "is silent")
+        standing = self.calls.stood_before(exchange, self.core.now + 1)
         for link in list(exchange.links.values()):
             if link.up and not link.attempts:
                 self.writing.drop(link, CloseReason.SILENT)
-        for call in standing:
-            self.exchanges.release(exchange, Release(call, ReleaseCause.NORMAL))
+        self.calls.end_unheard(exchange, standing, "is silent")
 
     def _lost_track(self, exchange: Exchange, why: str) -> None:
         """The process that answers now may be another: calls from before its first link are over."""
-        began_us = exchange.outage_us
-        standing = [k for k in sorted(exchange.standing) if self.calls.by_id[k].stood_us < began_us]
-        self.calls.cut(exchange, began_us, why)
-        for call in standing:
-            self.exchanges.release(exchange, Release(call, ReleaseCause.NORMAL))
+        self.calls.end_unheard(exchange, self.calls.stood_before(exchange, exchange.outage_us), why)
         self._prove(exchange)
 
     def suspect(self, exchange: Exchange) -> None:
         """Set-ups time out unheard: see at once whether a new link hears more."""
         if self.core.now - exchange.probed_us >= PROBE_EVERY_US:
-            self._open_link(exchange)
+            exchange.probed_us = self.core.now
+            self.open_link(exchange)
 
     def _probe(self, exchange: Exchange) -> None:
         """Nothing has been heard for some time: a new link tells whether anybody is there."""
+        exchange.probed_us = self.core.now
         if not exchange.quiet:
             exchange.quiet = True
             silent_ms = (self.core.now - exchange.alive_us) // 1000
             reason = f"{len(exchange.standing)} calls stand, nothing heard for {silent_ms} ms"
             self.core.note(TraceEvent.EXCHANGE_QUIET, exchange=exchange.ident, reason=reason)
-        self._open_link(exchange, may_close=True)
+        self.open_link(exchange, may_close=True, unheard_us=UNHEARD_LINK_US)
 
-    def _open_link(self, exchange: Exchange, may_close: bool = False) -> bool:
+    def open_link(self, exchange: Exchange, may_close: bool = False, unheard_us: float = math.inf) -> bool:
         """Open a further link, unless one is coming up already or has told nothing yet; whether that was done.
 
+        A link that has told nothing for `unheard_us` is not waited for: the network may have forgotten it.
+
         What comes first on it proves that the exchange lives, and calls that have ended are told there. The links
         that are open stay so: a hung exchange will speak on them when it goes on, and what it tells on one that it
         does not know to be closed is lost.
         """
-        exchange.probed_us = self.core.now
-        if any(not k.up or (exchange.sends_group_states and not k.heard_us) for k in exchange.links.values()):
+        unheard = [k for k in exchange.links.values() if exchange.sends_group_states and not k.heard_us]
+        waited_for = [k for k in unheard if self.core.now - k.up_us < unheard_us]
+        if waited_for or any(not k.up for k in exchange.links.values()):
             return False
         slot = next((k for k in reversed(range(SLOTS)) if k not in exchange.links), None)
         if slot is None:
-            return may_close and self._reopen_one(exchange)
+            # One that has said nothing yet may be told ends of calls as a hung exchange goes on.
+            return may_close and not unheard and self._reopen_one(exchange)
         self.links.connect(exchange, slot)
         return True
 
@@ -189,15 +186,6 @@
             self.links.connect(exchange, least.slot)
         return True
 
-    def closed_by_us(self, link: Link) -> None:
-        """Guards the calls of an exchange that may tell their end on a link which we have closed, not knowing that
-        nobody listens: on that of the set-up, or any other. It tells it on the next link that is opened, too. So one
-        is opened with the next sweep, and once more after some time, since an exchange that hung takes its
-        connections, its closes and its ends in any order as it goes on."""
-        exchange = self.exchanges.by_id[link.exchange]
-        if exchange.standing:
-            exchange.asks_left, exchange.ask_us = ASKS, self.core.now
-
     @staticmethod
     def _old_links(exchange: Exchange) -> list[Link]:
         """The links from before the outage, on which only the process from before can say anything."""
--- /dev/null
+++ b/latchturn/session/missed_ends.py
@@ -0,0 +1,72 @@
+"""Ends of calls that an exchange may have told where nobody hears them.
+
+An exchange tells the end of a call once on the connection of its set-up, or on any other that it believes to be open,
+and once more on the next connection that is opened. It does not know that a connection was reset on the way, was
+forgotten by the network or died in the queue of its listener, so either word may be lost, and there is no way to ask
+for a call. Owns what follows from a lost link: when another is opened for the second word, and which calls are ended
+because the second word may be lost too.
+"""
+
+from __future__ import annotations
+
+from .limits import COLLECT_EVERY_US, COLLECT_SOON_US, LATE_WORD_US, OPENING_US, SILENT_US
+from .part import Part
+from .state import Call, Exchange, Link
+from .trace import CloseReason
+
+
+class MissedEnds(Part):
+    """Hears of ends that were told on lost links, and ends the calls of which nothing may be heard any more."""
+
+    def stranded(self, exchange: Exchange) -> list[Call]:
+        """The standing calls whose own link is no more, by id."""
+        calls = (self.calls.by_id[ident] for ident in sorted(exchange.standing))
+        return [call for call in calls if call.link not in self.links.by_stream]
+
+    def link_lost(self, exchange: Exchange, link: Link, reason: CloseReason) -> None:
+        """A link that was up is out of its table."""
+        opening_lost = not self._opening_heard(exchange, link, reason)
+        carried = False
+        for call in self.stranded(exchange):
+            if call.link == link.ident:
+                carried = True
+                call.unheard_us = max(call.stood_us, link.heard_us)
+            elif opening_lost and link.up_us >= call.unheard_us:
+                call.may_be_over = True
+        if carried or opening_lost:
+            self.collect_soon(exchange)
+
+    def _opening_heard(self, exchange: Exchange, link: Link, reason: CloseReason) -> bool:
+        """Whether all has been heard that an exchange says first on a new link: its group state, then ends of calls."""
+        if not exchange.sends_group_states:
+            return self.core.now - link.up_us >= OPENING_US
+        if not link.first_heard_us:
+            return False
+        return reason is CloseReason.PEER_ENDED or self.core.now - link.first_heard_us >= OPENING_US
+
+    def first_word(self, exchange: Exchange, link: Link) -> None:
+        """A link is heard for the first time. An exchange that hung takes its connections, their ends and the ends of
+        calls in any order as it goes on: what it tells after it took this link needs another one."""
+        if self.core.now - link.up_us >= LATE_WORD_US:
+            self.collect_soon(exchange)
+
+    def collect_soon(self, exchange: Exchange) -> None:
+        """Open a further link before long, on which ends that nobody has heard are told again."""
+        soon_us = self.core.now + COLLECT_SOON_US
+        exchange.collect_us = min(exchange.collect_us or soon_us, soon_us)
+
+    def check(self, exchange: Exchange) -> None:
+        """Now and then: open a link to hear ends, and end in time what no link may tell of any more."""
+        due_us = self.core.now - SILENT_US
+        missed = [call for call in self.stranded(exchange) if call.may_be_over and call.unheard_us <= due_us]
+        self.calls.end_unheard(exchange, missed, "may have been told over on links that are dead")
+        if not exchange.collect_us or self.core.now < exchange.collect_us:
+            return
+        if not self.stranded(exchange):
+            exchange.collect_us = 0
+        elif self.liveness.open_link(exchange, may_close=self._speaks(exchange)):
+            exchange.collect_us = self.core.now + COLLECT_EVERY_US
+
+    def _speaks(self, exchange: Exchange) -> bool:
+        """Whether the exchange has said something lately, so that it knows soon of a link that is closed."""
+        return self.core.now - exchange.heard_us < LATE_WORD_US
--- a/latchturn/session/part.py
+++ b/latchturn/session/part.py
@@ -16,6 +16,7 @@
     from .housekeeping import Housekeeping
     from .links import Links
     from .liveness import Liveness
+    from .missed_ends import MissedEnds
     from .module import Module
     from .phases import Phases
     from .timers import Timers
@@ -35,6 +36,7 @@
     callers: Callers
     links: Links
     liveness: Liveness
+    missed_ends: MissedEnds
     exchanges: Exchanges
     channel: Channel
     phases: Phases
--- a/latchturn/session/reducer.py
+++ b/latchturn/session/reducer.py
@@ -24,6 +24,7 @@
 from .housekeeping import Housekeeping
 from .links import Links
 from .liveness import Liveness
+from .missed_ends import MissedEnds
 from .module import Module
 from .part import Part
 from .phases import Phase, Phases
@@ -74,6 +75,7 @@
         self.callers = Callers()
         self.links = Links()
         self.liveness = Liveness()
+        self.missed_ends = MissedEnds()
         self.exchanges = Exchanges()
         self.channel = Channel()
         self.phases = Phases()
--- a/latchturn/session/state.py
+++ b/latchturn/session/state.py
@@ -39,6 +39,8 @@
     stood_us: int = 0
     stands_at: int | None = None  # exchange
     link: int = 0  # stream on which it came to stand
+    unheard_us: int = 0  # since when its end may have been told unheard, once that link is lost
+    may_be_over: bool = False  # whether the next link, on which its end is told again, may have been lost too
     used: set[tuple[int, int]] = field(default_factory=set)  # exchange and slot of earlier attempts
     unsure: set[int] = field(default_factory=set)  # exchanges where an attempt may stand though its answer is lost
 
@@ -127,7 +129,8 @@
     attempts: set[Attempt] = field(default_factory=set)
     asked_us: int = 0  # when its connect began
     up_us: int = 0  # since when it has been up
-    heard_us: int = 0  # when it last heard anything, 0 if it never has
+    first_heard_us: int = 0  # when it first heard anything, 0 if it never has
+    heard_us: int = 0  # when it last did
     missed_us: int = 0  # since when another link has heard a group state that this one has not
     mute: int = 0  # attempts that timed out on it in a row with nothing heard
 
@@ -157,8 +160,7 @@
     quiet: bool = False  # whether it has been noted as quiet since then
     probed_us: int = 0  # when a link was last opened for a sign of life
     reset_us: int = 0  # when it last reset a link
-    asks_left: int = 0  # links that are still to be opened, to hear of ends told on links that we have closed
-    ask_us: int = 0  # when the next one is
+    collect_us: int = 0  # when a link is to be opened to hear ends that were told on lost links, 0 if none is
     failures: int = 0  # connections in a row that came to nothing
     retry_us: int = 0
     refused_us: int = 0  # since when it has refused links while it drains, else 0
--- a/latchturn/session/writing.py
+++ b/latchturn/session/writing.py
@@ -59,7 +59,7 @@
             self.note_closed(link, CloseReason.PEER_RESET)
             self.liveness.broken(link)
             self.liveness.reset(link)
-            self.links.lose(link)
+            self.links.lose(link, CloseReason.PEER_RESET)
         elif stream in self.callers.by_stream:
             caller = self.callers.by_stream[stream]
             self.note_closed(caller, caller.closing or CloseReason.PEER_RESET)
@@ -120,10 +120,7 @@
         self.note_closed(stream, reason)
         self.core.effects.append(Close(stream.ident))
         if isinstance(stream, Link):
-            # One that makes room is followed by the next at once, on which ends that crossed the close are told too.
-            if reason is not CloseReason.PEER_ENDED and reason is not CloseReason.PROBED:
-                self.liveness.closed_by_us(stream)
-            self.links.lose(stream)
+            self.links.lose(stream, reason)
         elif isinstance(stream, Caller):
             self.callers.lose(stream)
 
--- a/rig/proxy.py
+++ b/rig/proxy.py
@@ -29,6 +29,7 @@
     wake: trio.Event = field(default_factory=trio.Event)
     open_attempts: dict[int, Attempt] = field(default_factory=dict)
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    far_port: int = 0  # by which the exchange knows it
     lost: bool = False  # the machine behind it is no more: it stays open and silent
     closed: bool = False
 
@@ -45,6 +46,7 @@
         self.host = host_of(record.seed)
         self.listener = DeafListener(self.host, port)
         self.links: list[Link] = []
+        self.by_far_port: dict[int, Link] = {}  # also those that are closed
         self.accepted = 0
         self.process = 0  # number of the program's process
         self._passes = trio.Event()
@@ -116,6 +118,8 @@
                 link.far = trio.socket.socket()
                 try:
                     await link.far.connect((self.host, self.target))
+                    link.far_port = link.far.getsockname()[1]
+                    self.by_far_port[link.far_port] = link
                 except OSError:
                     self.end_link(link, AttemptEnd.BROKEN, abort=True)
                     return
@@ -222,6 +226,13 @@
                 standing.delivered_us = standing.delivered_us or now_us()
                 standing.delivered_on = standing.delivered_on or link.number
 
+    def describe(self, far_port: int) -> str:
+        """A connection and its state, by the port that the exchange knows it by."""
+        link = self.by_far_port.get(far_port)
+        if link is None:
+            return "a connection that had ended"
+        return f"link {link.number} ({'closed' if link.closed else 'forgotten' if link.lost else 'open'})"
+
     @staticmethod
     def end_attempt(link: Link, call: int, end: AttemptEnd) -> None:
         """The attempt of a call on a connection is over."""
--- a/rig/record.py
+++ b/rig/record.py
@@ -59,6 +59,7 @@
     delivered_us: int = 0  # when its release was passed to the program
     delivered_on: int = 0  # the connection on which that was
     by_program: bool = False  # the program released it
+    told_on: list[str] = field(default_factory=list)  # the connections on which its exchange told its end
 
 
 @dataclass(slots=True, frozen=True)
--- a/rig/rules.py
+++ b/rig/rules.py
@@ -112,6 +112,7 @@
             text = f"{_name(call)} at {standing.exchange}: told {told} ms after its end (-1: never)"
             if standing.by_program:
                 text += ", released by the program"
+            text += f"; its exchange told it on {', '.join(standing.told_on) or 'no connection'}"
             if standing.delivered_us:
                 late = (standing.delivered_us - standing.ended_us) // 1000
                 text += f", passed to the program {late} ms after it on link {standing.delivered_on}"
--- a/rig/scenario.py
+++ b/rig/scenario.py
@@ -25,6 +25,8 @@
 CROWD = 120  # connections in a trial with a crowd
 CROWD_SHARE = 0.25
 FAMILY_SHARE = 0.7
+HANG_S = 3.0  # of an exchange whose connections are reset meanwhile
+RESETS_S = (0.5, 1.5, 2.5)  # after it hung
 BREAKS = ("reset", "close", "forget")  # what becomes of connections
 
 
@@ -215,3 +217,16 @@
         (2.5, lambda trial: trial.vanish(2, 9.0, 9.2, False)),
     )
     return Plan(0, INCIDENT_WAIT_US, 4, 5, 0, ("incident",), steps)
+
+
+def hung_exchanges() -> Plan:
+    """Exchanges hang in turn and their connections are reset meanwhile, those in the queue too (seed 24)."""
+    steps: list[Step] = []
+    for number in (1, 2, 3):
+        for begin_s in (0.5 + number, 7.5 + number):
+            steps.append((begin_s, partial(_hang, number, HANG_S)))
+            steps += [(begin_s + after_s, partial(_break, number, 1.0, "reset")) for after_s in RESETS_S]
+    return Plan(0, 3 * SECOND, 4, 5, 0, ("hung",), tuple(steps))
+
+
+NAMED: dict[str, Callable[[], Plan]] = {"incident": silent_exchanges, "hung": hung_exchanges}
