Offer the module no call that was failed in the step in which it came

The caller had its answer. Cause: a set-up is read in the step in which the timer fires that answers all for the end. The call is failed before the module has heard of it; it was offered all the same and its leaving told behind that, so the module sent it. Evidence: the new test meets that step with the clock at that timer; before, one fault was counted, after it none. Why this works: an offer that has not been handed to the module is taken back, so that it never knows the call.

--- a/latchturn/session/calls.py
+++ b/latchturn/session/calls.py
@@ -73,12 +73,13 @@
     def leave(self, call: Call) -> None:
         """Nothing is owed to the caller any more: tell the module, and give up what is out."""
         self.forget(call)
-        # Guards the module's counts: where several calls are left in one step, an event before their words could
-        # have one of them sent that is no more, and its end would never be told.
         events = self.core.events
-        if any(isinstance(e, i.CallOffered) and e.call == call.ident for e in events):
-            events.append(i.CallerLeft(call.ident))
+        offered = next((e for e in events if isinstance(e, i.CallOffered) and e.call == call.ident), None)
+        if offered is not None:
+            events.remove(offered)  # the module does not know of it yet, and must not send what is no more
         else:
+            # Guards the module's counts: where several calls are left in one step, an event before their words could
+            # have one of them sent that is no more, and its end would never be told.
             events.appendleft(i.CallerLeft(call.ident))
         if (attempt := call.attempt) is not None:
             if attempt.sent and not attempt.given_up:
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -699,6 +699,21 @@
         desk.pass_time(limits.TERM_CLOSE_STEP_US)
         self.assertEqual((desk.closed, desk.ended), ([1, 2], True))
 
+    def test_a_set_up_that_comes_as_all_is_answered_for_the_end_is_answered_and_is_no_fault(self) -> None:
+        # The module was offered a call that had been failed in the same step, and sent it.
+        desk = Desk(far=3)
+        desk.do(s.Terminate())
+        last_us = desk.session.phases.term_last_us
+        for call in range(10, 14):
+            desk.hear(1, set_up(call, to=1 + call % 2 * 2, wait_ms=9000))  # something to wait for
+            desk.pass_time((last_us - desk.session.phases.term_us) // 4 - 1)
+        desk.hear(1, set_up(5, wait_ms=9000))
+        desk.now = last_us
+        written = desk.hear(1, set_up(6, to=2, wait_ms=9000))
+        self.assertEqual(sorted(m.call for stream, m in written if stream == 1), [5, 6, 13])
+        self.assertEqual(desk.session.counters["errors"], 0)
+        self.assertNotIn(6, desk.session.module.controller.calls)
+
     def test_a_clock_set_back_does_not_reach_the_module(self) -> None:
         desk = Desk()
         times: list[int] = []
