Pass over only the one failure that an entry of the known failures names

Cause: a listed seed or test could break any rule and was passed over whole. Another broken rule of a listed seed counts, as does another error of a listed test.

--- /dev/null
+++ b/rig/known_red.py
@@ -0,0 +1,57 @@
+"""The list of known failures, KNOWN-RED.txt: which failure of a test or a trial is passed over, and shown.
+
+One entry a line: test, failure, what was seen, issue, separated by ` | `. The test is a pytest id or `rig.soak SEED`.
+The failure is the text that the error of the test holds, or the broken rule of the trial, with `RULE: TEXT` only where
+the violation holds the text. Any other failure of the same test or trial counts.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from .rules import Violation
+
+PATH = Path(__file__).parent.parent / "KNOWN-RED.txt"
+ENTRIES_MOST = 3
+FIELDS = 4
+TRIAL = "rig.soak "
+
+
+class ListError(ValueError):
+    """The list is not as it should be."""
+
+
+@dataclass(slots=True, frozen=True)
+class KnownFailure:
+    """One entry."""
+
+    test: str
+    failure: str
+    seen: str
+    issue: str
+
+    def names(self, violation: Violation) -> bool:
+        """Whether a broken rule of the trial is the one of this entry."""
+        rule, _, text = self.failure.partition(": ")
+        return violation.rule == rule and text in violation.text
+
+
+def read(path: Path | None = None) -> list[KnownFailure]:
+    """The entries of the list, or of another file; ListError if there are too many, or one lacks a field."""
+    path = path or PATH
+    lines = [line for line in path.read_text().splitlines() if line.strip()] if path.exists() else []
+    entries = [[field.strip() for field in line.split(" | ")] for line in lines]
+    if len(entries) > ENTRIES_MOST or any(len(entry) != FIELDS or not all(entry) for entry in entries):
+        raise ListError(f"{path.name}: {ENTRIES_MOST} lines at most, each 'test | failure | what was seen | issue'")
+    return [KnownFailure(*entry) for entry in entries]
+
+
+def counted(
+    name: str, violations: Sequence[Violation], known: Sequence[KnownFailure]
+) -> tuple[list[Violation], list[Violation]]:
+    """The broken rules of a trial that count, and those that are passed over."""
+    entries = [entry for entry in known if entry.test == TRIAL + name]
+    passed_over = [v for v in violations if any(entry.names(v) for entry in entries)]
+    return [v for v in violations if v not in passed_over], passed_over
