Tell ends another way where the connection of their caller takes nothing in

What callers saw: the end of a call came 2.3 s after its exchange had told it (1 s allowed) where the connection of the set-up took nothing in: the release waited behind a stuck write until that connection was dropped after 2 s. Cause: a release was sent another way only once it had been written and was not confirmed; one still in the queue, or in the write under way, was not looked at (callers.send_again). Change: a write that takes over 0.2 s marks its connection as stuck. The ends that wait behind it, and once those in it, go to the best other connection that is not stuck; where there is none they stay. A stuck connection is chosen last. Evidence: the four tests of tests/test_ends_to_callers.py failed before (told after 2.3 s) and pass; tests of session, guards and random walks pass.

--- a/latchturn/session/callers.py
+++ b/latchturn/session/callers.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 from ..protocol import Message, Release, ReleaseCause, ReleaseHeard, SetUp, Test, TestResult, Unusable
 from .limits import (
     CALLERS_LEAST,
@@ -24,7 +26,7 @@
 from .machines import StreamMove, StreamState
 from .part import Part
 from .phases import Phase
-from .state import Caller
+from .state import Caller, Outgoing
 from .trace import CloseReason, TraceEvent
 from .words import Close, PassOn
 
@@ -204,6 +206,8 @@
     def send_again(self, caller: Caller) -> None:
         """Guards against a release that is lost with a connection whose caller is gone, or never cared for
         it: callers confirm what they hear."""
+        if self.is_stuck(caller):
+            self.send_stuck_ends(caller)
         for ident, (at, release) in list(caller.unconfirmed.items()):
             if at > self.core.now - HEARD_US:
                 continue
@@ -211,13 +215,40 @@
             over = self.calls.over.get(ident)
             if over is None or not over.stood or self.core.now - over.until_us + FORGET_US > HEARD_MOST_US:
                 continue
-            if (other := self.best(caller)) is not None:
+            if (other := self.other_than(caller)) is not None:
                 self.core.counters["releases_sent_again"] += 1
                 self.writing.queue(other, release)
 
+    def is_stuck(self, caller: Caller) -> bool:
+        """Whether a write on a connection takes so long that its peer seems to take nothing in."""
+        return bool(caller.in_flight) and self.core.now - caller.write_began_us > HEARD_US
+
+    def send_stuck_ends(self, caller: Caller) -> None:
+        """Send the ends of calls that wait on a stuck connection another way: they are owed within 1 s."""
+        other = self.other_than(caller)
+        if other is None:
+            return
+        stuck = [] if caller.write_passed_on else [m for m in caller.in_flight if self._is_end(m)]
+        waiting = [m for m in caller.outbox if self._is_end(m)]
+        caller.write_passed_on = True
+        caller.outbox = deque(m for m in caller.outbox if not self._is_end(m))
+        for release in (*stuck, *waiting):
+            self.core.counters["releases_sent_again"] += 1
+            self.writing.queue(other, release)
+
+    def _is_end(self, message: Outgoing) -> bool:
+        """Whether a message tells the end of a call that stood."""
+        over = self.calls.over.get(message.call) if isinstance(message, Release) else None
+        return over is not None and over.stood
+
+    def other_than(self, caller: Caller) -> Caller | None:
+        """The best other connection, None if there is none that takes what is written."""
+        other = self.best(caller)
+        return None if other is None or self.is_stuck(other) else other
+
     def best(self, but: Caller | None = None) -> Caller | None:
         open_ = [c for c in self.by_stream.values() if not c.finishing and c is not but]
-        return max(open_, key=lambda c: (c.trust, c.active_us)) if open_ else None
+        return max(open_, key=lambda c: (not self.is_stuck(c), c.trust, c.active_us)) if open_ else None
 
     def send_unsent(self, caller: Caller) -> None:
         """Send the releases that wait for a caller."""
--- a/latchturn/session/state.py
+++ b/latchturn/session/state.py
@@ -108,6 +108,7 @@
     accepted_us: int = 0
     active_us: int = 0
     sent_anything: bool = False  # whether it has been sent anything
+    write_passed_on: bool = False  # whether the ends in the present write have been sent another way
     trust: int = 0  # 1 once it has sent a set-up that can be used, 2 once a call of its has stood
     faults: int = 0  # messages of no use lately
     closing: CloseReason | None = None  # why it is asked to be closed once nothing lies unread on it
--- a/latchturn/session/writing.py
+++ b/latchturn/session/writing.py
@@ -91,6 +91,7 @@
             stream.in_flight.append(item)
         if messages:
             if isinstance(stream, Caller):
+                stream.write_passed_on = False
                 stream.sent_anything = stream.sent_anything or not all(isinstance(m, ReleaseHeard) for m in messages)
             stream.write_began_us = self.core.now
             self.core.effects.append(Write(stream.ident, tuple(messages)))
--- /dev/null
+++ b/tests/test_ends_to_callers.py
@@ -0,0 +1,67 @@
+"""Ends of calls reach their callers though a connection is stuck, or open with nobody behind it."""
+
+from __future__ import annotations
+
+import unittest
+
+from latchturn import protocol as p
+from latchturn import session as s
+
+from .helpers import SECOND, Desk, set_up
+
+END = p.Release(5, p.ReleaseCause.NORMAL)
+TOLD_US = SECOND  # from the release by the exchange to the release towards the caller
+UNSENT_US = 8 * SECOND  # the same, if no release could be sent
+
+
+class Ends(unittest.TestCase):
+    """Call 5 of the caller on connection 1 stands at exchange 1."""
+
+    def setUp(self) -> None:
+        self.desk = Desk()
+        self.desk.stand(5)
+
+    def connect(self, stream: int, call: int) -> None:
+        """Another connection, on which a call stands at exchange 2."""
+        desk = self.desk
+        desk.do(s.Accepted(stream))
+        desk.hear(stream, set_up(call, to=2))
+        desk.hear(desk.link[2], p.Answer(call, b"yes"))
+
+    def end(self) -> list[tuple[int, p.Message]]:
+        return self.desk.hear(self.desk.link[1], END)
+
+    def stick(self, stream: int, call: int) -> None:
+        """The peer takes nothing in: a write on its connection does not get through."""
+        self.desk.hold.add(stream)
+        self.desk.hear(stream, p.Test(call))
+
+    def test_an_end_behind_a_stuck_write_goes_another_way(self) -> None:
+        self.connect(2, 6)
+        self.stick(1, 99)
+        self.end()
+        self.assertIn((2, END), self.desk.pass_time(TOLD_US))
+
+    def test_so_does_one_in_a_write_that_is_stuck(self) -> None:
+        self.connect(2, 6)
+        self.desk.hold.add(1)
+        self.end()
+        self.assertIn((2, END), self.desk.pass_time(TOLD_US))
+
+    def test_it_goes_once_for_each_connection_that_is_stuck(self) -> None:
+        self.connect(2, 6)
+        self.stick(1, 99)
+        self.end()
+        written = self.desk.pass_time(TOLD_US // 2)
+        self.desk.hear(2, p.ReleaseHeard(5))
+        written += self.desk.pass_time(TOLD_US // 2)
+        self.assertEqual(written.count((2, END)), 1)
+
+    def test_a_connection_that_takes_what_is_written_goes_before_one_that_is_stuck(self) -> None:
+        self.connect(2, 6)
+        self.connect(3, 7)
+        self.desk.hear(2, p.ReleaseHeard(98))  # the latest to have spoken
+        for stream in (1, 2):
+            self.stick(stream, 99)
+        self.end()
+        self.assertIn((3, END), self.desk.pass_time(TOLD_US))
