Keep an unconfirmed end for the next connection where there is no other

What callers saw: an end told on the only connection, with nobody behind it any more, was never told again when their next connection came, though 8 s are left for that. Cause: a release that was not confirmed within 0.2 s was dropped where no other connection was open at that moment, and one that was 2 s old was never sent again. Change: it waits with its connection for another one, 8 s at most; the bound by age became one by number (8 times, as many as the 2 s came to), so that callers that confirm nothing are not told without end.

--- a/latchturn/session/callers.py
+++ b/latchturn/session/callers.py
@@ -16,11 +16,11 @@
     FAULTS_MOST,
     FORGET_US,
     FRESH_US,
-    HEARD_MOST_US,
     HEARD_US,
     HOLD_RELEASE_US,
     LINKS_KEPT,
     OPEN_MOST,
+    SENT_AGAIN_MOST,
     STANDING_RELEASE_US,
 )
 from .machines import StreamMove, StreamState
@@ -205,17 +205,18 @@
 
     def send_again(self, caller: Caller) -> None:
         """Guards against a release that is lost with a connection whose caller is gone, or never cared for
-        it: callers confirm what they hear."""
+        it: callers confirm what they hear. Without another connection it waits for one that comes."""
+        other = self.other_than(caller)
+        if other is None:
+            return
         if self.is_stuck(caller):
-            self.send_stuck_ends(caller)
-        for ident, (at, release) in list(caller.unconfirmed.items()):
-            if at > self.core.now - HEARD_US:
-                continue
-            del caller.unconfirmed[ident]
+            self.send_stuck_ends(caller, other)
+        unheard = [k for k, (at, _) in caller.unconfirmed.items() if at <= self.core.now - HEARD_US]
+        for ident in unheard:
+            _, release = caller.unconfirmed.pop(ident)
             over = self.calls.over.get(ident)
-            if over is None or not over.stood or self.core.now - over.until_us + FORGET_US > HEARD_MOST_US:
-                continue
-            if (other := self.other_than(caller)) is not None:
+            if over is not None and over.stood and over.sent_again < SENT_AGAIN_MOST:
+                over.sent_again += 1
                 self.core.counters["releases_sent_again"] += 1
                 self.writing.queue(other, release)
 
@@ -223,11 +224,8 @@
         """Whether a write on a connection takes so long that its peer seems to take nothing in."""
         return bool(caller.in_flight) and self.core.now - caller.write_began_us > HEARD_US
 
-    def send_stuck_ends(self, caller: Caller) -> None:
+    def send_stuck_ends(self, caller: Caller, other: Caller) -> None:
         """Send the ends of calls that wait on a stuck connection another way: they are owed within 1 s."""
-        other = self.other_than(caller)
-        if other is None:
-            return
         stuck = [] if caller.write_passed_on else [m for m in caller.in_flight if self._is_end(m)]
         waiting = [m for m in caller.outbox if self._is_end(m)]
         caller.write_passed_on = True
--- a/latchturn/session/housekeeping.py
+++ b/latchturn/session/housekeeping.py
@@ -35,7 +35,8 @@
         self.timers.set(SWEEP_US, TimerKind.SWEEP)
         in_time = self._is_in_time()
         self.channel.check()
-        for stream in (*self.callers.by_stream.values(), *self.links.by_stream.values()):
+        streams: list[Caller | Link] = [*self.callers.by_stream.values(), *self.links.by_stream.values()]
+        for stream in streams:
             self._check_releases(stream)
             self._check_write(stream)
         for caller in list(self.callers.by_stream.values()):
@@ -58,7 +59,7 @@
         self.was_late = late and not self.was_late
         return not self.was_late
 
-    def _check_releases(self, stream: Stream) -> None:
+    def _check_releases(self, stream: Caller | Link) -> None:
         """Send what is not confirmed another way, and forget what has arrived for all that is known."""
         if isinstance(stream, Caller):
             self.callers.send_again(stream)
--- a/latchturn/session/state.py
+++ b/latchturn/session/state.py
@@ -16,13 +16,14 @@
 from .trace import CloseReason
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Over:
     """What is kept of an ended call."""
 
     until_us: int
     stood: bool
     answered: bool
+    sent_again: int = 0  # how often its release has been sent again
 
 
 @dataclass(slots=True, eq=False)
--- a/latchturn/session/writing.py
+++ b/latchturn/session/writing.py
@@ -18,7 +18,7 @@
     def __init__(self) -> None:
         self.ready: dict[int, Stream] = {}  # streams with something to write
 
-    def unfinished_releases(self, stream: Stream) -> list[Release]:
+    def unfinished_releases(self, stream: Caller | Link) -> list[Release]:
         """Releases which a closed connection has perhaps not carried, and which still mean something: to a caller
         those of calls that stood, to an exchange those of any call that is over."""
         waiting = [m for m in (*stream.in_flight, *stream.outbox) if isinstance(m, Release)]
@@ -30,14 +30,15 @@
             return [m for ident, m in releases.items() if ident in self.calls.over]
         return [m for ident, m in releases.items() if ident in self.calls.over and self.calls.over[ident].stood]
 
-    def _unproved_since(self, stream: Stream) -> int:
-        """What was written later may not have arrived: lately, or on a link since it last told anything."""
+    def _unproved_since(self, stream: Caller | Link) -> int:
+        """What was written later may not have arrived: lately, on a link since it last told anything, and to a caller
+        for as long as there is no other connection on which it could be sent again."""
         since = self.core.now - RESEND_US
         if isinstance(stream, Link):
-            since = max(min(since, stream.heard_us), self.core.now - STANDING_RELEASE_US)
-        return since
+            return max(min(since, stream.heard_us), self.core.now - STANDING_RELEASE_US)
+        return since if self.callers.other_than(stream) else self.core.now - STANDING_RELEASE_US
 
-    def settled_releases(self, stream: Stream) -> list[int]:
+    def settled_releases(self, stream: Caller | Link) -> list[int]:
         """The calls whose releases on a stream are held to have arrived, though nothing has confirmed them."""
         since = self._unproved_since(stream)
         return [call for call, (at, _) in stream.unconfirmed.items() if at <= since]
--- a/tests/test_ends_to_callers.py
+++ b/tests/test_ends_to_callers.py
@@ -6,6 +6,7 @@
 
 from latchturn import protocol as p
 from latchturn import session as s
+from latchturn.session import limits
 
 from .helpers import SECOND, Desk, set_up
 
@@ -65,3 +66,32 @@
             self.stick(stream, 99)
         self.end()
         self.assertIn((3, END), self.desk.pass_time(TOLD_US))
+
+    def test_an_end_that_nobody_confirmed_waits_for_another_connection(self) -> None:
+        # The only connection may be open with nobody behind it; its caller comes again seconds later.
+        for came_us in (SECOND, 3 * SECOND, UNSENT_US - SECOND):
+            with self.subTest(came_us=came_us):
+                self.setUp()
+                self.end()
+                self.desk.pass_time(came_us)
+                self.connect(2, 6)
+                self.assertIn((2, END), self.desk.pass_time(SECOND // 2))
+
+    def test_an_end_that_was_confirmed_waits_for_none(self) -> None:
+        self.end()
+        self.desk.hear(1, p.ReleaseHeard(5))
+        self.desk.pass_time(3 * SECOND)
+        self.connect(2, 6)
+        self.assertNotIn((2, END), self.desk.pass_time(SECOND))
+
+    def test_nor_does_one_that_is_too_old(self) -> None:
+        self.end()
+        self.desk.pass_time(UNSENT_US + SECOND)
+        self.connect(2, 6)
+        self.assertNotIn((2, END), self.desk.pass_time(SECOND))
+
+    def test_ends_that_nobody_ever_confirms_are_sent_a_few_times(self) -> None:
+        self.connect(2, 6)
+        self.end()
+        written = [message for _, message in self.desk.pass_time(UNSENT_US)]
+        self.assertTrue(1 <= written.count(END) <= limits.SENT_AGAIN_MOST, written.count(END))
