Close no healthy link for a group state that was no news on it

What callers saw: set-ups cut, now and then, on a link that was closed as silent though it heard everything. Cause: a group state comes on each link of an exchange, and what comes first on a new link comes there alone. Change: only a state that is new, and not the first word of its link, is expected on the others. Test changed: test_attempts_that_time_out_unheard_close_their_link passed through the wrong mark, 0.5 s after the start; its attempt left in the same microsecond in which its link was last heard. It leaves 1 us later now, and the link is closed for what the test says. Tests of liveness, session and guards pass.

--- a/latchturn/session/exchanges.py
+++ b/latchturn/session/exchanges.py
@@ -128,7 +128,8 @@
         self.liveness.heard(exchange, link)
         link.half_us = link.half_us and self.core.now
         link.heard_us, link.missed_us, link.mute = self.core.now, 0, 0
-        if not link.first_heard_us:
+        is_first_word = not link.first_heard_us
+        if is_first_word:
             link.first_heard_us = self.core.now
             self.missed_ends.first_word(exchange, link)
         call = self.calls.by_id.get(message.call)
@@ -143,12 +144,11 @@
         elif isinstance(message, Release):
             self.released(exchange, link, message, attempt)
         elif isinstance(message, GroupState):
-            for other in exchange.links.values():
-                if other is not link and other.up and not other.missed_us:
-                    other.missed_us = self.core.now
             exchange.sends_group_states = True
             if not self.is_copy(exchange, link, message.report):
                 self.tell_report(exchange, message.report)
+                if not is_first_word:
+                    self.links.expect_copies(exchange, link)
         elif isinstance(message, ReleaseHeard):
             link.unconfirmed.pop(message.call, None)
         elif isinstance(message, Test):
--- a/latchturn/session/links.py
+++ b/latchturn/session/links.py
@@ -28,6 +28,12 @@
         self.core.counters["links_mute"] += 1
         self.writing.drop(link, CloseReason.SILENT)
 
+    def expect_copies(self, exchange: Exchange, link: Link) -> None:
+        """A new group state has been heard on a link: it comes on all the others as well."""
+        for other in exchange.links.values():
+            if other is not link and other.up and not other.missed_us:
+                other.missed_us = self.core.now
+
     def keep(self, exchange: Exchange) -> None:
         """Have links to every exchange that can be used, one after the other: group states come on open links
         alone."""
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -184,6 +184,28 @@
             done = len(desk.connects)
         self.assertLessEqual(done - connects, 5)  # in 15 s: the one in its place, and one each 5 s
 
+    def test_a_link_that_hears_each_group_state_a_little_later_is_not_closed(self) -> None:
+        desk = self.desk
+        first, second = desk.link[1], desk.second[1]
+        desk.hear(first, group_state(5))
+        desk.hear(second, group_state(5))
+        desk.pass_time(2 * SECOND - 1)
+        desk.hear(second, group_state(6))
+        desk.pass_time(2)  # the sweep comes between the two
+        desk.hear(first, group_state(6))
+        self.assertEqual(desk.closed, [])
+
+    def test_what_comes_first_on_a_new_link_is_missed_by_no_other(self) -> None:
+        desk = self.desk
+        desk.do(s.Closed(desk.second[1]))
+        new = desk.connects[-1].stream
+        desk.do(s.Connected(new))
+        desk.hear(new, group_state(6))
+        desk.pass_time(SECOND)
+        desk.hear(new, p.Progress(5))
+        desk.pass_time(limits.SWEEP_US)
+        self.assertEqual(desk.closed, [])
+
     def test_a_hung_exchange_keeps_its_links_though_set_ups_time_out_on_them(self) -> None:
         desk = self.desk
         for call in range(20, 26):
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -495,6 +495,7 @@
 
     def test_attempts_that_time_out_unheard_close_their_link(self) -> None:
         desk = self.desk
+        desk.pass_time(1)  # what was heard last came before the attempt
         desk.hear(1, set_up(5))
         desk.pass_time(300_000)
         desk.hear(self.other, group_state(20))
