Open a further link to an exchange that hung while the process started

What callers would see: the end of a call that stood in the process before, told by an exchange that hung over the restart, reached nobody: it went to that process's dead link and waited for a next one, which this process did not open, since it knew of no call. Cause: the further link after a late first word was opened only where calls stand without their link. Change: in the first 10 s of a process the late word is enough; one link is opened then, and no more each 5 s. Evidence: the new test (a process starts among hung exchanges) fails without the change; one that hangs later is left alone. Tests of missed ends, liveness, session and guards pass.

--- a/latchturn/session/limits.py
+++ b/latchturn/session/limits.py
@@ -20,6 +20,7 @@
 # Links opened to hear ends of calls that were told on lost links.
 COLLECT_SOON_US = SECOND // 4  # after the loss of a link, or after a first word that came late
 COLLECT_EVERY_US = 5 * SECOND  # as long as calls stand whose own link is lost
+PREDECESSOR_US = 10 * SECOND  # after the start; ends of calls of the process before are owed for 8 s of that
 OPENING_US = SECOND // 4  # what an exchange says first on a new link has come so long after its first word
 LATE_WORD_US = SECOND // 2  # an exchange that says nothing on a new link for so long has hung
 UNHEARD_LINK_US = SECOND  # a link that says nothing for so long holds up no other that is to show a sign of life
--- a/latchturn/session/missed_ends.py
+++ b/latchturn/session/missed_ends.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from .limits import COLLECT_EVERY_US, COLLECT_SOON_US, LATE_WORD_US, OPENING_US, SILENT_US
+from .limits import COLLECT_EVERY_US, COLLECT_SOON_US, LATE_WORD_US, OPENING_US, PREDECESSOR_US, SILENT_US
 from .part import Part
 from .state import Call, Exchange, Link
 from .trace import CloseReason
@@ -33,7 +33,7 @@
                 call.unheard_us = max(call.stood_us, link.heard_us)
             elif opening_lost and link.up_us >= call.unheard_us:
                 call.may_be_over = True
-        if carried or opening_lost:
+        if carried or (opening_lost and self._may_have_untold_ends(exchange)):
             self.collect_soon(exchange)
 
     def _opening_heard(self, exchange: Exchange, link: Link, reason: CloseReason) -> bool:
@@ -47,7 +47,7 @@
     def first_word(self, exchange: Exchange, link: Link) -> None:
         """A link is heard for the first time. An exchange that hung takes its connections, their ends and the ends of
         calls in any order as it goes on: what it tells after it took this link needs another one."""
-        if self.core.now - link.up_us >= LATE_WORD_US:
+        if self.core.now - link.up_us >= LATE_WORD_US and self._may_have_untold_ends(exchange):
             self.collect_soon(exchange)
 
     def collect_soon(self, exchange: Exchange) -> None:
@@ -62,10 +62,15 @@
         self.calls.end_unheard(exchange, missed, "may have been told over on links that are dead")
         if not exchange.collect_us or self.core.now < exchange.collect_us:
             return
-        if not self.stranded(exchange):
+        if not self._may_have_untold_ends(exchange):
             exchange.collect_us = 0
         elif self.liveness.open_link(exchange, may_close=self._speaks(exchange)):
-            exchange.collect_us = self.core.now + COLLECT_EVERY_US
+            exchange.collect_us = self.core.now + COLLECT_EVERY_US if self.stranded(exchange) else 0
+
+    def _may_have_untold_ends(self, exchange: Exchange) -> bool:
+        """Whether the exchange may have told an end on a lost link: of a call that stands here without its link, or of
+        one that stood in the process before, which this one does not know."""
+        return bool(self.stranded(exchange)) or self.core.now - self.phases.started_us < PREDECESSOR_US
 
     def _speaks(self, exchange: Exchange) -> bool:
         """Whether the exchange has said something lately, so that it knows soon of a link that is closed."""
--- a/tests/test_missed_ends.py
+++ b/tests/test_missed_ends.py
@@ -125,7 +125,7 @@
 
 
 class Inherited(unittest.TestCase):
-    """A call that stood in the process before this one, whose links are being closed."""
+    """Calls that stood in the process before this one, whose links are closed by now."""
 
     def test_a_link_is_opened_on_which_its_end_is_told_again(self) -> None:
         desk = Desk()
@@ -133,3 +133,28 @@
         desk.do(s.Bequeathed(7, 101))
         desk.pass_time_in_touch(SOON_US, SOON_US // 4)
         self.assertEqual(len(desk.connects), connects + 1)
+
+    def start_among_hung_exchanges(self) -> tuple[Desk, int]:
+        """A process has just started; a link to an exchange that hangs is up and silent."""
+        desk = Desk()
+        desk.do(s.Closed(desk.second[1]))
+        stream = desk.connects[-1].stream
+        desk.do(s.Connected(stream))
+        return desk, stream
+
+    def test_an_exchange_that_hung_as_the_process_started_is_given_another_link(self) -> None:
+        # It takes the connections in its queue first, then tells ends on those of the process before, which are dead.
+        desk, stream = self.start_among_hung_exchanges()
+        desk.pass_time(3 * SECOND)
+        connects = len(desk.connects)
+        desk.hear(stream, group_state(3))
+        desk.pass_time_in_touch(SOON_US, SOON_US // 4)
+        self.assertEqual(len(desk.connects), connects + 1)
+
+    def test_one_that_hangs_later_has_no_calls_of_that_process(self) -> None:
+        desk, stream = self.start_among_hung_exchanges()
+        desk.pass_time(limits.PREDECESSOR_US + 3 * SECOND)
+        connects = len(desk.connects)
+        desk.hear(stream, group_state(3))
+        desk.pass_time_in_touch(SOON_US, SOON_US // 4)
+        self.assertEqual(len(desk.connects), connects)
