--- a/latchturn/brain.py
+++ b/latchturn/brain.py
@@ -15,9 +15,7 @@
 
 DIRECT, TWO_LEG = 0, 1  # classes of the ledger
 NEVER_RAN = (i.Outcome.TURNED_AWAY, i.Outcome.NOT_SENT, i.Outcome.UNREACHABLE)
-# Bounds. The minimum of direct calls as a share of the group: the design's starting tenth let two-leg calls
-# crowd busy groups, a half kept idle circuits from them on quiet days.
-MINIMUM_SHARE = 0.3
+MINIMUM_SHARE = 0.3  # minimum of direct calls, as a share of the group
 NEVER = (0, 0)  # no times in a row, no pause
 NO_LIMIT = 1 << 30  # of direct calls
 TWO_LEG_SHARE = 0.5  # upper limit of two-leg calls, as a share of the group
--- a/latchturn/session/limits.py
+++ b/latchturn/session/limits.py
@@ -51,7 +51,7 @@
 CHANNEL_CONNECT_MOST_US = 1_200_000  # a connect that the network repeats once comes up after 1 s
 CHANNEL_PATIENCE_GROWTH = 1.3  # of both, for each connection in a row that told nothing
 CHANNEL_PAUSE_US = 200_000  # at most, after a connection that told nothing
-# For the interpreter, the listeners, the door, the channel and connections being closed; 28 have been seen.
+# For the interpreter, the listeners, the command channel and connections being closed.
 DESCRIPTORS_KEPT = 40
 LINKS_KEPT = 3  # descriptors for each exchange: further links serve second attempts and are seldom all open
 CALLERS_LEAST = 3  # callers may hold one part in so many of the limit, so as much is left to them in any case
