--- a/rig/client.py
+++ b/rig/client.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 from collections import deque
 from dataclasses import dataclass
@@ -21,7 +22,9 @@
 
 RECEIVE = 64 * 1024
 REFUSED_PAUSE_S = 0.05
+HALF_CLOSE_STEP_S = 0.001
 PIECES_S = (0.01, 1.2)
+ABSENT_S = (1.0, 4.0)
 
 
 @dataclass(slots=True, frozen=True)
@@ -37,6 +40,8 @@
     nonsense: float = 0.0  # messages that cannot be used or read
     confirms: bool = True  # whether it confirms releases
     hangs_up: float = 0.0  # set-ups after which it closes at once
+    half_closes: float = 0.0  # set-ups behind which it sends its end, and goes on to read
+    absent: float = 0.0  # moments without an open set-up at which it stops reading for some time
 
 
 class Ids:
@@ -69,12 +74,15 @@
         self.may_connect = True
         self.outbox: deque[tuple[bytes, Call | None]] = deque()
         self.wake = trio.Event()
+        self.reading = trio.Event()  # set while it reads
+        self.reading.set()
 
     async def run(self) -> None:
         """Connect, call and listen until cancelled."""
         while True:
             sock = await self.connect()
             self.open, self.outbox, self.wake, self.garbled = {}, deque(), trio.Event(), False
+            self.reading.set()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.listen, sock, nursery.cancel_scope)
                 nursery.start_soon(self.write, sock)
@@ -111,8 +119,14 @@
             if self.random.random() < self.habits.nonsense:
                 self.send(self.nonsense())
                 continue
+            if not self.open and self.happens(self.habits.absent):
+                self.reading = trio.Event()
+                await trio.sleep(self.random.uniform(*ABSENT_S))
+                self.reading.set()
             call = self.set_up()
-            if self.random.random() < self.habits.hangs_up:
+            if self.happens(self.habits.half_closes):
+                await self.half_close(sock, call)
+            elif self.random.random() < self.habits.hangs_up:
                 self.hang_up(sock)
             elif self.random.random() < self.habits.gives_up:
                 await trio.sleep(self.random.uniform(0, 0.3))
@@ -120,6 +134,18 @@
                     call.gave_up_us = now_us()
                     self.send(p.encode(p.Release(call.ident, p.ReleaseCause.NORMAL)))
 
+    def happens(self, share: float) -> bool:
+        """Draw whether something of a given share happens; without a draw where it never does."""
+        return share > 0 and self.random.random() < share
+
+    async def half_close(self, sock: trio.socket.SocketType, call: Call) -> None:
+        """Send no more behind a set-up, and wait for all that is open."""
+        while not call.sent_us:
+            await trio.sleep(HALF_CLOSE_STEP_S)
+        with contextlib.suppress(OSError):
+            sock.shutdown(trio.socket.SHUT_WR)
+        await trio.sleep_forever()  # `listen` sees the end
+
     def set_up(self) -> Call:
         """Put one set-up in line."""
         ident = self.ids.next()
@@ -188,7 +214,7 @@
         """Hear the program until the connection ends."""
         decoder = p.message_decoder()
         try:
-            while data := await sock.recv(RECEIVE):
+            while data := await self.receive(sock):
                 for message in decoder.feed(data):
                     self.hear(message)
         except (OSError, trio.ClosedResourceError):
@@ -197,6 +223,14 @@
             self.record.strange.append(f"{self.habits.name} cannot read the program: {error}")
         scope.cancel()
 
+    async def receive(self, sock: trio.socket.SocketType) -> bytes:
+        """What comes next, as soon as the client reads."""
+        if sock.fileno() < 0:
+            raise trio.ClosedResourceError  # it has hung up
+        await trio.lowlevel.wait_readable(sock)
+        await self.reading.wait()
+        return await sock.recv(RECEIVE)
+
     def hear(self, message: p.Message) -> None:
         """One message of the program."""
         call = self.record.calls.get(message.call) or self.open.get(message.call)
@@ -232,6 +266,7 @@
             self.set_up()
 
 
+ABSENT = Habits("absent", 8.0, absent=0.1, half_closes=0.03)
 HABITS = (
     Habits("steady", 12.0),
     Habits("steady", 6.0),
--- a/rig/proxy.py
+++ b/rig/proxy.py
@@ -31,6 +31,7 @@
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     far_port: int = 0  # by which the exchange knows it
     lost: bool = False  # the machine behind it is no more: it stays open and silent
+    halved: bool = False  # reset towards the program, and open to the exchange
     closed: bool = False
 
 
@@ -101,6 +102,15 @@
             if not link.lost and self.random.random() < share:
                 self.end_link(link, AttemptEnd.BROKEN, abort)
 
+    def halve_some(self, share: float) -> None:
+        """The network resets some of the connections towards the program alone: to the exchange they stay open."""
+        for link in self.links:
+            if not link.lost and not link.halved and self.random.random() < share:
+                link.halved = True
+                for attempt in list(link.open_attempts.values()):
+                    self.end_attempt(link, attempt.call, AttemptEnd.BROKEN)
+                reset(link.near)
+
     def forget_some(self, share: float) -> None:
         """The network forgets some of the connections: they stay open, and nothing passes any more."""
         for link in self.links:
@@ -164,6 +174,8 @@
                 link.wake.set()
         except (OSError, trio.ClosedResourceError):
             abort = True
+        if link.halved:
+            await trio.sleep_forever()
         self.end_link(link, AttemptEnd.CLOSED, abort)
 
     async def write_to_exchange(self, link: Link) -> None:
@@ -187,6 +199,8 @@
         try:
             while data := await link.far.recv(RECEIVE):
                 await self.passes(link)
+                if link.halved:
+                    continue
                 await send_all(link.near, data)
                 if readable:
                     try:
@@ -231,7 +245,8 @@
         link = self.by_far_port.get(far_port)
         if link is None:
             return "a connection that had ended"
-        return f"link {link.number} ({'closed' if link.closed else 'forgotten' if link.lost else 'open'})"
+        states = {"closed": link.closed, "half open": link.halved, "forgotten": link.lost}
+        return f"link {link.number} ({next((state for state, holds in states.items() if holds), 'open')})"
 
     @staticmethod
     def end_attempt(link: Link, call: int, end: AttemptEnd) -> None:
--- a/rig/scenario.py
+++ b/rig/scenario.py
@@ -7,8 +7,9 @@
 from __future__ import annotations
 
 import random
+import signal
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 
 import trio
@@ -22,6 +23,7 @@
 INCIDENT_WAIT_US = 9 * SECOND  # as the deployment of the report has it
 LENGTH_S = 12.0  # of the time in which faults begin
 TAIL_S = 10.0  # after it: the longest time that a rule allows, and more
+FURTHER_FROM = 101  # the first seed whose trial has the further families
 CROWD = 120  # connections in a trial with a crowd
 CROWD_SHARE = 0.25
 FAMILY_SHARE = 0.7
@@ -41,6 +43,7 @@
     crowd: int
     families: tuple[str, ...]
     steps: tuple[Step, ...]
+    absent: int = 0  # further clients, which stop reading now and then
 
     def record(self) -> Record:
         """An empty record for the trial."""
@@ -187,6 +190,46 @@
     await end(number, told, back, same)
 
 
+def half_open(draw: Draw) -> list[Step]:
+    """Connections to exchanges that are reset towards the program alone, some while the exchange hangs."""
+    steps: list[Step] = []
+    for _ in range(draw.random.randint(1, 4)):
+        number, at_s = draw.random.randrange(1, draw.exchanges + 1), draw.time()
+        steps.append((at_s, partial(_break, number, draw.random.uniform(0.4, 1.0), "halve")))
+        if draw.random.random() < 0.4:
+            steps.append((max(0.0, at_s - 0.5), partial(_hang, number, draw.random.uniform(1.0, 3.0))))
+    return steps
+
+
+def queued(draw: Draw) -> list[Step]:
+    """Exchanges that hang while their connections break again and again, those in their queue too."""
+    steps: list[Step] = []
+    for _ in range(draw.random.randint(1, 3)):
+        number, at_s, seconds = draw.random.randrange(1, draw.exchanges + 1), draw.time(), draw.random.uniform(1.0, 5.0)
+        steps.append((at_s, partial(_hang, number, seconds)))
+        for _ in range(draw.random.randint(1, 4)):
+            how = draw.random.choice((*BREAKS, "halve"))
+            moment_s = at_s + draw.random.uniform(0.0, seconds + 0.2)
+            steps.append((moment_s, partial(_break, number, draw.random.uniform(0.4, 1.0), how)))
+    return steps
+
+
+def signals(draw: Draw) -> list[Step]:
+    """Restarts with signals in series behind each SIGTERM."""
+
+    async def series(pauses: list[list[tuple[float, signal.Signals]]], trial: Trial) -> None:
+        for further in pauses:
+            await trial.restart(further)
+            await trio.sleep(0.2)
+
+    numbers: tuple[signal.Signals, ...] = (signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1)
+    restarts = [
+        [(draw.random.uniform(0.0, 0.6), draw.random.choice(numbers)) for _ in range(draw.random.randint(1, 6))]
+        for _ in range(draw.random.randint(1, 3))
+    ]
+    return [(draw.time(0.5, 5.0), partial(series, restarts))]
+
+
 FAMILIES: dict[str, Callable[[Draw], list[Step]]] = {
     "shutdowns": shutdowns,
     "discovery": discovery,
@@ -196,8 +239,29 @@
 }
 
 
+FURTHER_FAMILIES: dict[str, Callable[[Draw], list[Step]]] = {
+    "half_open": half_open,
+    "queued": queued,
+    "signals": signals,
+}
+
+
 def plan(seed: int) -> Plan:
-    """The trial of a seed: at least two families, mostly more."""
+    """The trial of a seed: at least two families, mostly more; from a seed on, further ones are joined to them."""
+    drawn = _plan(seed)
+    if seed < FURTHER_FROM:
+        return drawn
+    draw = Draw(seed)
+    draw.random = random.Random(f"soak further {seed}")
+    names = [name for name in FURTHER_FAMILIES if draw.random.random() < FAMILY_SHARE]
+    if "shutdowns" in drawn.families and "signals" in names:
+        names.remove("signals")  # one series of restarts at a time
+    steps = tuple(step for name in names for step in FURTHER_FAMILIES[name](draw))
+    absent = draw.random.randint(0, 2)
+    return replace(drawn, families=(*drawn.families, *names), steps=(*drawn.steps, *steps), absent=absent)
+
+
+def _plan(seed: int) -> Plan:
     draw = Draw(seed)
     names = [name for name in FAMILIES if draw.random.random() < FAMILY_SHARE]
     while len(names) < 2:
--- a/rig/soak.py
+++ b/rig/soak.py
@@ -26,7 +26,7 @@
 def run_trial(plan: scenario.Plan) -> tuple[Record, list[rules.Violation]]:
     """Play one plan in this process."""
     record = plan.record()
-    trial = Trial(record, plan.exchanges, plan.clients, plan.crowd)
+    trial = Trial(record, plan.exchanges, plan.clients, plan.crowd, plan.absent)
     trio.run(trial.run, plan.play, scenario.TAIL_S)
     return record, rules.check(record)
 
--- a/rig/trial.py
+++ b/rig/trial.py
@@ -4,14 +4,14 @@
 
 import contextlib
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import replace
 
 import trio
 
 from latchturn import protocol as p
 
-from .client import HABITS, Client, Ids
+from .client import ABSENT, HABITS, Client, Ids
 from .clock import SECOND, now_us
 from .discovery import Discovery
 from .exchange import Options
@@ -30,7 +30,7 @@
 class Trial:
     """The processes and sockets of one trial; the methods below `faults` are the words of scenarios."""
 
-    def __init__(self, record: Record, exchanges: int, clients: int, crowd: int) -> None:
+    def __init__(self, record: Record, exchanges: int, clients: int, crowd: int, absent: int = 0) -> None:
         self.record = record
         self.crowd = crowd
         self.host = host_of(record.seed)
@@ -45,8 +45,8 @@
         self.next_ident = FIRST_IDENT + 100
         ids = Ids(record.seed)
         self.clients = [
-            Client(HABITS[k % len(HABITS)], self.program.address, record, ids, list(self.sites), record.seed * 100 + k)
-            for k in range(clients)
+            Client(habits, self.program.address, record, ids, list(self.sites), record.seed * 100 + k)
+            for k, habits in enumerate([HABITS[k % len(HABITS)] for k in range(clients)] + [ABSENT] * absent)
         ]
         self.nursery: trio.Nursery
 
@@ -141,16 +141,27 @@
 
     # --- faults: the program ---
 
-    async def restart(self) -> None:
-        """SIGTERM; clients use open connections until the process is no more; then a new process at once."""
-        self.note("SIGTERM")
+    async def restart(self, further: Sequence[tuple[float, signal.Signals]] = ()) -> None:
+        """SIGTERM; clients use open connections until the process is no more; then a new process at once.
+
+        Further signals follow, each some seconds after the one before.
+        """
+        self.note(f"SIGTERM {' '.join(number.name for _, number in further)}".strip())
         self.nursery.start_soon(self._no_new_connections)
+        self.nursery.start_soon(self._signals, further)
         await self.program.terminate()
         for client in self.clients:
             client.may_connect = True
         self.note("start")
         await self.start_program()
 
+    async def _signals(self, series: Sequence[tuple[float, signal.Signals]]) -> None:
+        process = self.program.current
+        for pause_s, number in series:
+            await trio.sleep(pause_s)
+            if process is self.program.current:
+                self.program.send(number)
+
     async def _no_new_connections(self) -> None:
         process = self.program.current
         await trio.sleep(NEW_CONNECTIONS_S)
@@ -291,6 +302,8 @@
         proxy = self.sites[number].proxy
         if how == "forget":
             proxy.forget_some(share)
+        elif how == "halve":
+            proxy.halve_some(share)
         else:
             proxy.break_some(share, abort=how == "reset")
 
