Give the releases towards callers a module of their own

Cause: callers.py held the connections of callers and, beside them, how ends of calls reach callers. Change: session/end_notices.py owns the latter, with what housekeeping did for it; a planted fault follows. Behaviour is the same.

--- a/latchturn/checking/plants.py
+++ b/latchturn/checking/plants.py
@@ -13,7 +13,7 @@
 from .. import interface as i
 from .. import protocol as p
 from ..brain import Controller
-from ..session import attempts, callers, calls, exchanges, links, module, phases, reducer, timers, writing
+from ..session import attempts, callers, calls, end_notices, exchanges, links, module, phases, reducer, timers, writing
 from ..session.timers import TimerKind
 from ..session.words import Close
 
@@ -173,11 +173,11 @@
 def _release_not_kept() -> None:
     def make(old: Body) -> Body:
         def release(self: Any, preferred: int, message: Any) -> Any:
-            return old(self, preferred, message) if self.by_stream else None
+            return old(self, preferred, message) if self.callers.by_stream else None
 
         return release
 
-    _change(callers.Callers, "release", make)
+    _change(end_notices.EndNotices, "send", make)
 
 
 @_fault("mini", "the module's timers are not set, and an overdue call is not failed")
@@ -303,11 +303,11 @@
 def _cut_not_told() -> None:
     def make(old: Body) -> Body:
         def cut(self: Any, *what: Any) -> Any:
-            release, self.callers.release = self.callers.release, lambda *_: None
+            release, self.end_notices.send = self.end_notices.send, lambda *_: None
             try:
                 return old(self, *what)
             finally:
-                self.callers.release = release
+                self.end_notices.send = release
 
         return cut
 
--- a/latchturn/session/callers.py
+++ b/latchturn/session/callers.py
@@ -1,12 +1,10 @@
-"""Connections of callers: who may come, who makes room, what they say, and how ends of calls reach them.
+"""Connections of callers: who may come, who makes room, and what they say.
 
 The one place where a connection is given back is `lose`.
 """
 
 from __future__ import annotations
 
-from collections import deque
-
 from ..protocol import Message, Release, ReleaseCause, ReleaseHeard, SetUp, Test, TestResult, Unusable
 from .limits import (
     CALLERS_LEAST,
@@ -14,19 +12,14 @@
     DESCRIPTORS_KEPT,
     DRAIN_AWAY_MS,
     FAULTS_MOST,
-    FORGET_US,
     FRESH_US,
-    HEARD_US,
-    HOLD_RELEASE_US,
     LINKS_KEPT,
     OPEN_MOST,
-    SENT_AGAIN_MOST,
-    STANDING_RELEASE_US,
 )
 from .machines import StreamMove, StreamState
 from .part import Part
 from .phases import Phase
-from .state import Caller, Outgoing
+from .state import Caller
 from .trace import CloseReason, TraceEvent
 from .words import Close, PassOn
 
@@ -37,7 +30,6 @@
     def __init__(self) -> None:
         self.by_stream: dict[int, Caller] = {}
         self.without_calls: dict[int, Caller] = {}  # those that have set up no call, as they last did anything
-        self.unsent: list[tuple[int, Release]] = []  # releases that wait for a caller
 
     def asked(self, caller: Caller, message: SetUp | Unusable, waited_us: int) -> None:
         """A set-up from a caller."""
@@ -157,7 +149,7 @@
         if isinstance(message, SetUp | Unusable):
             self.asked(caller, message, waited_us)
             if caller.trust:
-                self.send_unsent(caller)
+                self.end_notices.send_held(caller)
         elif isinstance(message, Release):
             call = self.calls.by_id.get(message.call)
             if call is None:
@@ -183,77 +175,6 @@
             self.core.counters["messages_passed_over"] += 1
             self.fault(caller, "messages of no use")
 
-    def release(self, preferred: int, release: Release) -> None:
-        """Send the release of a call that stood on the best connection, or keep it for the next one.
-
-        Any will do for its caller, but not one of somebody else's: where the call's own is no more, those go
-        first on which calls have stood, and one that never set up a call is the last resort.
-        """
-        self.core.counters["releases_to_callers"] += 1
-        caller = self.by_stream.get(preferred)
-        if caller is None or caller.finishing:
-            caller = self.best()
-        over = self.calls.over.get(release.call)
-        # One that has been told on connections which closed since has waited long enough already.
-        urgent = over is not None and self.core.now - (over.until_us - FORGET_US) >= HOLD_RELEASE_US
-        if caller is None or not (caller.trust or urgent):
-            self.core.note(TraceEvent.RELEASE_HELD, call=release.call)
-            self.unsent.append((self.core.now + STANDING_RELEASE_US, release))
-        else:
-            self.core.note(TraceEvent.RELEASE_SENT, call=release.call, stream=caller.ident)
-            self.writing.queue(caller, release)
-
-    def send_again(self, caller: Caller) -> None:
-        """Guards against a release that is lost with a connection whose caller is gone, or never cared for
-        it: callers confirm what they hear. Without another connection it waits for one that comes."""
-        other = self.other_than(caller)
-        if other is None:
-            return
-        if self.is_stuck(caller):
-            self.send_stuck_ends(caller, other)
-        unheard = [k for k, (at, _) in caller.unconfirmed.items() if at <= self.core.now - HEARD_US]
-        for ident in unheard:
-            _, release = caller.unconfirmed.pop(ident)
-            over = self.calls.over.get(ident)
-            if over is not None and over.stood and over.sent_again < SENT_AGAIN_MOST:
-                over.sent_again += 1
-                self.core.counters["releases_sent_again"] += 1
-                self.writing.queue(other, release)
-
-    def is_stuck(self, caller: Caller) -> bool:
-        """Whether a write on a connection takes so long that its peer seems to take nothing in."""
-        return bool(caller.in_flight) and self.core.now - caller.write_began_us > HEARD_US
-
-    def send_stuck_ends(self, caller: Caller, other: Caller) -> None:
-        """Send the ends of calls that wait on a stuck connection another way: they are owed within 1 s."""
-        stuck = [] if caller.write_passed_on else [m for m in caller.in_flight if self._is_end(m)]
-        waiting = [m for m in caller.outbox if self._is_end(m)]
-        caller.write_passed_on = True
-        caller.outbox = deque(m for m in caller.outbox if not self._is_end(m))
-        for release in (*stuck, *waiting):
-            self.core.counters["releases_sent_again"] += 1
-            self.writing.queue(other, release)
-
-    def _is_end(self, message: Outgoing) -> bool:
-        """Whether a message tells the end of a call that stood."""
-        over = self.calls.over.get(message.call) if isinstance(message, Release) else None
-        return over is not None and over.stood
-
-    def other_than(self, caller: Caller) -> Caller | None:
-        """The best other connection, None if there is none that takes what is written."""
-        other = self.best(caller)
-        return None if other is None or self.is_stuck(other) else other
-
-    def best(self, but: Caller | None = None) -> Caller | None:
-        open_ = [c for c in self.by_stream.values() if not c.finishing and c is not but]
-        return max(open_, key=lambda c: (not self.is_stuck(c), c.trust, c.active_us)) if open_ else None
-
-    def send_unsent(self, caller: Caller) -> None:
-        """Send the releases that wait for a caller."""
-        unsent, self.unsent = self.unsent, []
-        for _, release in unsent:
-            self.writing.queue(caller, release)
-
     def lose(self, caller: Caller) -> None:
         """The connection is closed: what was owed on it is owed no more, releases go another way."""
         caller.move(StreamMove.CLOSE)
@@ -263,7 +184,7 @@
             self.core.counters["callers_vanished"] += 1
             self.calls.leave(self.calls.by_id[ident])
         for release in self.writing.unfinished_releases(caller):
-            self.release(0, release)
+            self.end_notices.send(0, release)
 
     def close_if_finished(self, caller: Caller) -> None:
         if caller.finishing and caller.idle:
--- a/latchturn/session/calls.py
+++ b/latchturn/session/calls.py
@@ -150,7 +150,7 @@
             self.note_cut(exchange, calls, why)
         for call in calls:
             self.end_standing(call, i.Outcome.CUT)
-            self.callers.release(call.caller, Release(call.ident, ReleaseCause.TEMPORARY_FAILURE))
+            self.end_notices.send(call.caller, Release(call.ident, ReleaseCause.TEMPORARY_FAILURE))
 
     def note_cut(self, exchange: Exchange, cut: list[Call], why: str) -> None:
         """Record which calls are over with their exchange; the log names the first of them."""
--- a/latchturn/session/exchanges.py
+++ b/latchturn/session/exchanges.py
@@ -222,7 +222,7 @@
         elif call is not None and call.stands_at == exchange.ident and release.cause in ENDS:
             over = release.cause == ReleaseCause.NORMAL
             self.calls.end_standing(call, i.Outcome.RELEASED if over else i.Outcome.CUT, report)
-            self.callers.release(call.caller, Release(call.ident, release.cause))
+            self.end_notices.send(call.caller, Release(call.ident, release.cause))
             self.writing.queue(link, ReleaseHeard(call.ident))
         else:
             if report is not None:
@@ -231,7 +231,7 @@
             if call is None and release.call not in self.calls.over and release.cause in ENDS:
                 # The call stood before this program was started anew; its caller still has to hear.
                 self.calls.remember_ended(release.call, True, True)
-                self.callers.release(0, Release(release.call, release.cause))
+                self.end_notices.send(0, Release(release.call, release.cause))
 
 
 def _report(figures: Mapping[str, float]) -> i.Report:
--- a/latchturn/session/housekeeping.py
+++ b/latchturn/session/housekeeping.py
@@ -9,11 +9,9 @@
 from .limits import (
     FAULTS_FORGIVEN,
     HALF_READ_US,
-    HOLD_RELEASE_US,
     LATE_SWEEP_US,
     MUTE_US,
     SPEAK_US,
-    STANDING_RELEASE_US,
     STUCK_US,
     SWEEP_US,
 )
@@ -48,7 +46,7 @@
                 self.liveness.check(exchange)
                 self.missed_ends.check(exchange)
         self._end_old_settings()
-        self._send_held_releases()
+        self.end_notices.check()
         self._forget()
 
     def _is_in_time(self) -> bool:
@@ -62,7 +60,7 @@
     def _check_releases(self, stream: Caller | Link) -> None:
         """Send what is not confirmed another way, and forget what has arrived for all that is known."""
         if isinstance(stream, Caller):
-            self.callers.send_again(stream)
+            self.end_notices.send_again(stream)
         for ident in self.writing.settled_releases(stream):
             del stream.unconfirmed[ident]
 
@@ -106,16 +104,6 @@
             self.classes.use(self.classes.read, None)
             self.core.events.append(i.SettingsChanged(self.classes.settings))
 
-    def _send_held_releases(self) -> None:
-        """Send releases that have waited long enough for a caller that has set up a call to any other."""
-        self.callers.unsent = [kept for kept in self.callers.unsent if kept[0] > self.core.now]
-        if not self.callers.unsent:
-            return
-        held_since_us = self.callers.unsent[0][0] - STANDING_RELEASE_US
-        best = self.callers.best()
-        if best is not None and self.core.now - held_since_us > HOLD_RELEASE_US:
-            self.callers.send_unsent(best)
-
     def _forget(self) -> None:
         """Drop releases that no link came up for, and the ids of calls that ended long ago."""
         for exchange in self.exchanges.by_id.values():
--- a/latchturn/session/part.py
+++ b/latchturn/session/part.py
@@ -12,6 +12,7 @@
     from .channel import Channel
     from .classes import Classes
     from .core import Core
+    from .end_notices import EndNotices
     from .exchanges import Exchanges
     from .housekeeping import Housekeeping
     from .links import Links
@@ -34,6 +35,7 @@
     attempts: Attempts
     calls: Calls
     callers: Callers
+    end_notices: EndNotices
     links: Links
     liveness: Liveness
     missed_ends: MissedEnds
--- a/latchturn/session/reducer.py
+++ b/latchturn/session/reducer.py
@@ -20,6 +20,7 @@
 from .channel import Channel
 from .classes import Classes
 from .core import Core
+from .end_notices import EndNotices
 from .exchanges import Exchanges
 from .housekeeping import Housekeeping
 from .links import Links
@@ -73,6 +74,7 @@
         self.attempts = Attempts()
         self.calls = Calls()
         self.callers = Callers()
+        self.end_notices = EndNotices()
         self.links = Links()
         self.liveness = Liveness()
         self.missed_ends = MissedEnds()
--- a/latchturn/session/writing.py
+++ b/latchturn/session/writing.py
@@ -36,7 +36,7 @@
         since = self.core.now - RESEND_US
         if isinstance(stream, Link):
             return max(min(since, stream.heard_us), self.core.now - STANDING_RELEASE_US)
-        return since if self.callers.other_than(stream) else self.core.now - STANDING_RELEASE_US
+        return since if self.end_notices.other_than(stream) else self.core.now - STANDING_RELEASE_US
 
     def settled_releases(self, stream: Caller | Link) -> list[int]:
         """The calls whose releases on a stream are held to have arrived, though nothing has confirmed them."""
