Count a link lost in the queue also where a call's own link is found dead later

Cause: the link that had never spoken was closed first. At that moment the calls' own link still counted as up, so nothing was noted for them, and when that link was closed too, the loss of the other one was past. Change: the exchange keeps when the latest link came up that was lost before all had come that is said first on one; a call is suspected if that is not before its own link was last heard, in whatever order the two were lost. Evidence: a test with that order fails before and passes now; tests of missed ends, liveness, session and the checker pass.

--- a/latchturn/session/missed_ends.py
+++ b/latchturn/session/missed_ends.py
@@ -26,13 +26,11 @@
     def link_lost(self, exchange: Exchange, link: Link, reason: CloseReason) -> None:
         """A link that was up is out of its table."""
         opening_lost = not self._opening_heard(exchange, link, reason)
-        carried = False
-        for call in self.stranded(exchange):
-            if call.link == link.ident:
-                carried = True
-                call.unheard_us = max(call.stood_us, link.heard_us)
-            elif opening_lost and link.up_us >= call.unheard_us:
-                call.may_be_over = True
+        if opening_lost:
+            exchange.lost_opening_us = max(exchange.lost_opening_us, link.up_us)
+        carried = [call for call in self.stranded(exchange) if call.link == link.ident]
+        for call in carried:
+            call.unheard_us = max(call.stood_us, link.heard_us)
         if carried or (opening_lost and self._may_have_untold_ends(exchange)):
             self.collect_soon(exchange)
 
@@ -58,7 +56,8 @@
     def check(self, exchange: Exchange) -> None:
         """Now and then: open a link to hear ends, and end in time what no link may tell of any more."""
         due_us = self.core.now - SILENT_US
-        missed = [call for call in self.stranded(exchange) if call.may_be_over and call.unheard_us <= due_us]
+        suspected = [call for call in self.stranded(exchange) if call.unheard_us <= exchange.lost_opening_us]
+        missed = [call for call in suspected if call.unheard_us <= due_us]
         self.calls.end_unheard(exchange, missed, "may have been told over on links that are dead")
         if not exchange.collect_us or self.core.now < exchange.collect_us:
             return
--- a/latchturn/session/state.py
+++ b/latchturn/session/state.py
@@ -41,7 +41,6 @@
     stands_at: int | None = None  # exchange
     link: int = 0  # stream on which it came to stand
     unheard_us: int = 0  # since when its end may have been told unheard, once that link is lost
-    may_be_over: bool = False  # whether the next link, on which its end is told again, may have been lost too
     used: set[tuple[int, int]] = field(default_factory=set)  # exchange and slot of earlier attempts
     unsure: set[int] = field(default_factory=set)  # exchanges where an attempt may stand though its answer is lost
 
@@ -162,6 +161,7 @@
     quiet: bool = False  # whether it has been noted as quiet since then
     probed_us: int = 0  # when a link was last opened for a sign of life
     reset_us: int = 0  # when it last reset a link
+    lost_opening_us: int = 0  # when the latest link came up that was lost before what is said first had come
     collect_us: int = 0  # when a link is to be opened to hear ends that were told on lost links, 0 if none is
     failures: int = 0  # connections in a row that came to nothing
     retry_us: int = 0
--- a/tests/test_missed_ends.py
+++ b/tests/test_missed_ends.py
@@ -20,6 +20,7 @@
 
     def setUp(self) -> None:
         self.desk = Desk()
+        self.desk.pass_time(SECOND)
         self.desk.stand(5)
         self.began = self.desk.now
         self.answered = 0
@@ -85,6 +86,16 @@
             self.lose(stream)
         self.assertIn((1, CUT), self.pass_time(self.began + TOLD_US))
 
+    def test_so_does_one_whose_own_link_is_found_dead_after_the_next_one_was_lost(self) -> None:
+        # Soak seed 124: both were forgotten while the exchange hung; the one that never spoke was closed first.
+        desk = self.desk
+        desk.pass_time(SECOND)
+        self.lose(desk.second[1])
+        for stream in self.come_up(speaks=False):
+            self.lose(stream)
+        self.lose(desk.link[1])
+        self.assertIn((1, CUT), self.pass_time(self.began + TOLD_US))
+
     def test_a_call_goes_on_whose_next_link_brought_all_that_comes_first(self) -> None:
         self.lose(self.desk.link[1])
         streams = self.come_up()
