Judge the end of a call by the exchange whose answer its client has

What 103 had answered unheard was released there, as it has to be; no client had it. The check is narrowed to that case alone: an end is owed where the exchange's own answer is the one that the client has. Tests: an attempt that stood elsewhere owes nothing, the same with the client's own answer is red as before.

--- a/rig/exchange.py
+++ b/rig/exchange.py
@@ -94,7 +94,8 @@
                 self.nursery.start_soon(self.serve, sock)
 
     def report(self, event: str, call: int = 0, port: int = 0) -> None:
-        """Tell the trial of an event; the port is that of the peer's end of the connection which it concerns."""
+        """Tell the trial of an event; the port is that of the peer's end of the connection which it concerns, or
+        the exchange's own of an answer."""
         sys.stdout.write(json.dumps({"at": now_us(), "event": event, "call": call, "port": port}) + "\n")
         sys.stdout.flush()
 
@@ -249,7 +250,7 @@
     def answer(self, call: Call) -> None:
         """The call stands from now on, whether its answer arrives or not."""
         call.stands = True
-        self.report("answered", call.ident)
+        self.report("answered", call.ident, self.port)
         self.tell_group()
         if self.happens(self.options.lose_answer):
             return
--- a/rig/record.py
+++ b/rig/record.py
@@ -55,6 +55,7 @@
     call: int
     exchange: int
     answered_us: int
+    description: bytes = b""  # what its exchange answered it with
     ended_us: int = 0
     delivered_us: int = 0  # when its release was passed to the program
     delivered_on: int = 0  # the connection on which that was
--- a/rig/rules.py
+++ b/rig/rules.py
@@ -120,10 +120,11 @@
 
 
 def _owed_an_end(call: Call, standing: Standing) -> bool:
-    """Whether the client still has to hear of the end of a call."""
+    """Whether the client still has to hear of the end of a call: not that of an attempt which stood at an exchange
+    unheard, while another exchange's answer is the one that the client has."""
     if not call.answered_us or call.bad or call.gave_up_us or call.ended_by_client_us:
         return False
-    answered_there = standing.answered_us <= call.answered_us
+    answered_there = standing.answered_us <= call.answered_us and standing.description == call.description
     return answered_there and standing.ended_us - standing.answered_us > ANSWER_RACE_US
 
 
--- a/rig/site.py
+++ b/rig/site.py
@@ -13,7 +13,7 @@
 
 from .clock import now_us
 from .discovery import Endpoint
-from .exchange import Options
+from .exchange import Options, description
 from .program import ROOT
 from .proxy import Proxy
 from .record import Record, Standing
@@ -74,7 +74,8 @@
         if event == "told" and key in self.record.standing:
             self.record.standing[key].told_on.append(self.proxy.describe(int(str(report["port"]))))
         elif event == "answered":
-            self.record.standing[key] = Standing(call, self.ident, at)
+            answer = description(int(str(report["port"])), call)
+            self.record.standing[key] = Standing(call, self.ident, at, answer)
         elif event in ("ended", "released") and key in self.record.standing:
             standing = self.record.standing[key]
             standing.ended_us = standing.ended_us or at
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -38,7 +38,7 @@
         call.answered_us = call.sent_us + int(after_s * SECOND)
         call.finals = [(call.answered_us, "answered")]
         call.description = b"v=0 20000 %016x\xff" % ident
-        self.record.standing[7, ident] = Standing(ident, 7, call.answered_us)
+        self.record.standing[7, ident] = Standing(ident, 7, call.answered_us, call.description)
         return call
 
     def broken(self) -> list[str]:
@@ -119,6 +119,13 @@
             self.record.attempts = [Attempt(1, 7, 1, at(sent_s), at(sent_s + 0.1), AttemptEnd.ANSWERED)]
             self.assertEqual(self.broken(), rule, f"{delivered_s} {sent_s}")
 
+    def test_an_end_is_owed_of_the_call_that_the_client_has_not_of_an_attempt_elsewhere(self) -> None:
+        for description, rule in ((b"v=0 20001 %016x\xff" % 1, []), (b"v=0 20000 %016x\xff" % 1, ["end not told"])):
+            self.setUp()
+            call = self.answered(1)
+            self.record.standing[8, 1] = Standing(1, 8, call.answered_us - 1, description, ended_us=at(2))
+            self.assertEqual(self.broken(), rule)
+
     def test_crashes_and_faults(self) -> None:
         for fields, rule in (
             ({"exited_us": at(9), "exit_code": 1}, ["crash"]),
