--- a/rig/proxy.py
+++ b/rig/proxy.py
@@ -130,7 +130,7 @@
                     await link.far.connect((self.host, self.target))
                     link.far_port = link.far.getsockname()[1]
                     self.by_far_port[link.far_port] = link
-                except OSError:
+                except (OSError, trio.ClosedResourceError):  # or it has been broken meanwhile
                     self.end_link(link, AttemptEnd.BROKEN, abort=True)
                     return
                 async with trio.open_nursery() as nursery:
