Take the end of a call on any link to the address of its exchange

Cause, from a record of every message read: links to both listings lead to one process. It told the end of a call of 202 on a link to 104, since the call's own link was lost; the program took an end only from the exchange at which the call stands there. Change: an end counts on a link to any listing of the same address, and so does the loss of a link in the queue there. Ends told by an exchange at another address count for nothing, as before (a third test).

--- a/latchturn/session/exchanges.py
+++ b/latchturn/session/exchanges.py
@@ -22,7 +22,7 @@
 from .limits import COPY_US, EXCHANGE_RELEASE_US
 from .machines import CALL, AttemptState, CallMove
 from .part import Part
-from .state import Attempt, Exchange, Link, SeenGroupState
+from .state import Attempt, Call, Exchange, Link, SeenGroupState
 from .trace import CloseReason, TraceEvent
 
 NOTES = {
@@ -213,13 +213,27 @@
         if answer.report is not None:
             self.tell_report(exchange, answer.report)
 
+    def at_address(self, address: tuple[str, int]) -> list[Exchange]:
+        """The exchanges of an address: one, but while the list holds one that has gone beside its successor."""
+        return [exchange for exchange in self.by_id.values() if exchange.address == address]
+
+    def may_have(self, exchange: Exchange, call: Call) -> bool:
+        """Whether a call stands at an exchange, or at another of the same address.
+
+        Guards against ends told on the links of an exchange that has gone, where another has its address and the list
+        still holds both: their links lead to one process, which takes any for its own.
+        """
+        if call.stands_at is None or call.stands_at == exchange.ident:
+            return call.stands_at is not None
+        return self.by_id[call.stands_at].address == exchange.address
+
     def released(self, exchange: Exchange, link: Link, release: Release, attempt: Attempt | None) -> None:
         report = None if release.report is None else _report(release.report)
         call = self.calls.by_id.get(release.call)
         if attempt is not None:
             outcome = OUTCOMES.get(release.cause, i.Outcome.NO_LINE)  # type: ignore[call-overload]
             self.attempts.end(attempt, outcome, cause=NOTES.get(release.note, i.Cause.NONE), report=report)
-        elif call is not None and call.stands_at == exchange.ident and release.cause in ENDS:
+        elif call is not None and self.may_have(exchange, call) and release.cause in ENDS:
             over = release.cause == ReleaseCause.NORMAL
             self.calls.end_standing(call, i.Outcome.RELEASED if over else i.Outcome.CUT, report)
             self.end_notices.send(call.caller, Release(call.ident, release.cause))
--- a/latchturn/session/missed_ends.py
+++ b/latchturn/session/missed_ends.py
@@ -27,7 +27,8 @@
         """A link that was up is out of its table."""
         opening_lost = not self._opening_heard(exchange, link, reason)
         if opening_lost:
-            exchange.lost_opening_us = max(exchange.lost_opening_us, link.up_us)
+            for known in self.exchanges.at_address(exchange.address):
+                known.lost_opening_us = max(known.lost_opening_us, link.up_us)
         carried = [call for call in self.stranded(exchange) if call.link == link.ident]
         for call in carried:
             call.unheard_us = max(call.stood_us, link.heard_us)
--- a/tests/test_missed_ends.py
+++ b/tests/test_missed_ends.py
@@ -4,11 +4,12 @@
 
 import unittest
 
+from latchturn import interface as i
 from latchturn import protocol as p
 from latchturn import session as s
 from latchturn.session import limits
 
-from .helpers import SECOND, Desk, group_state, set_up
+from .helpers import SECOND, Desk, group_state, listed, set_up
 
 CUT = p.Release(5, p.ReleaseCause.TEMPORARY_FAILURE)
 TOLD_US = 8 * SECOND  # from the end of a call that no release could tell of
@@ -135,6 +136,46 @@
         self.assertIn((1, CUT), self.pass_time(self.began + TOLD_US))
 
 
+class OneAddress(unittest.TestCase):
+    """The list holds an exchange that has gone, and another at its address: the links to both lead to one process."""
+
+    def setUp(self) -> None:
+        self.desk = Desk()
+        old, new = listed(1, port=7), listed(2, port=7)
+        self.desk.do(s.ListTold(p.ListUpdate(2, i.ListKind.FULL, (listed(0), old, new))))
+        for connect in self.desk.connects[-2:]:
+            self.desk.do(s.Connected(connect.stream))
+            self.desk.hear(connect.stream, group_state(3))
+        self.links = {self.desk.session.links.by_stream[c.stream].exchange: c.stream for c in self.desk.connects[-2:]}
+        self.desk.pass_time_in_touch(SECOND)
+        (stream, _), *_ = self.desk.hear(1, set_up(5, to=2))
+        self.desk.hear(stream, p.Answer(5, b"yes"))
+
+    def test_an_end_told_on_a_link_to_the_other_is_the_end(self) -> None:
+        self.desk.hear(self.links[101], p.Release(5, p.ReleaseCause.NORMAL))
+        self.assertNotIn(5, self.desk.session.calls.by_id)
+
+    def test_an_end_told_by_an_exchange_at_another_address_is_none(self) -> None:
+        desk = Desk()
+        desk.stand(5, to=2)
+        desk.hear(desk.link[1], p.Release(5, p.ReleaseCause.NORMAL))
+        self.assertIn(5, desk.session.calls.by_id)
+
+    def test_a_link_to_the_other_that_is_lost_in_the_queue_may_have_been_told_the_end(self) -> None:
+        desk, began_us = self.desk, self.desk.now
+        desk.do(s.Ended(self.links[102]))
+        coming = [k for k, link in desk.session.links.by_stream.items() if link.exchange == 102 and not link.up_us]
+        for stream in coming:
+            desk.do(s.Connected(stream))
+            desk.hear(stream, group_state(4))
+        desk.pass_time_in_touch(SECOND, SECOND // 4)
+        lost = next(k for k, link in desk.session.links.by_stream.items() if link.exchange == 101 and not link.up_us)
+        desk.do(s.Connected(lost))
+        desk.do(s.Closed(lost))
+        written = desk.pass_time_in_touch(began_us + TOLD_US - desk.now, SECOND // 4)
+        self.assertIn((1, CUT), written)
+
+
 class Inherited(unittest.TestCase):
     """Calls that stood in the process before this one, whose links are closed by now."""
 
