Call the door the admin listener, and give it a module of its own

Cause: a name that a newcomer has to guess, and a third job in net.py. Change: latchturn/admin.py owns the connections of operators and their bounds; names in code, tests and pages follow. Behaviour and settings are the same; one log line says 'no admin listener'.

--- a/latchturn/__main__.py
+++ b/latchturn/__main__.py
@@ -36,8 +36,8 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
-def with_door(config: Config, environ: Mapping[str, str]) -> Config:
-    """The configuration with the operators' door that the environment names, if the file names none."""
+def with_admin_address(config: Config, environ: Mapping[str, str]) -> Config:
+    """The configuration with the admin address that the environment names, if the file names none."""
     admin = environ.get("GW_ADMIN_ADDR")
     return config if config.admin or not admin else replace(config, admin=parse_address(admin))
 
@@ -49,7 +49,7 @@
         if not path:
             raise ConfigError("GW_CONFIG names no file")
         config, settings = read(path)
-        config = with_door(config, os.environ)
+        config = with_admin_address(config, os.environ)
         core = Session(settings, config.seed, config.sockets)
     except (ConfigError, ValueError) as error:
         print(f"latchturn: {error}", file=sys.stderr)
--- a/latchturn/net.py
+++ b/latchturn/net.py
@@ -25,13 +25,10 @@
 
 import trio
 
-from . import early_signals, handover, interface, operations, protocol, session
+from . import admin, early_signals, handover, interface, protocol, session
 
 RECEIVE = 8 * 1024  # about 50 messages: the other connections have their turn after them
 BACKLOG = 4096  # as far as the system allows: callers come by the hundred at once
-DOOR_MOST = 16  # connections at the operators' door, where the oldest makes room
-DOOR_BACKLOG = 64
-DOOR_PATIENCE_S = 5.0  # for one visit
 HELD_PAUSE_S = 0.25  # between two words of descriptors to the other process
 ACCEPT_PAUSE_S = 0.05  # after an accept that failed for want of descriptors or memory
 RESTART_PAUSE_S = 0.1  # of a service task that raised
@@ -98,7 +95,6 @@
     def __init__(self) -> None:
         self.scope = trio.CancelScope()
         self.sock: trio.socket.SocketType | None = None
-        self.reply = b""  # of a visit at the door
 
 
 class Node:
@@ -116,8 +112,7 @@
         self.clock = Clock()
         self.polls = Polls()
         self._outlets: dict[int, _Outlet] = {}
-        self._visits: dict[int, _Outlet] = {}  # at the operators' door, the oldest first
-        self._visitors = 0
+        self._admin = admin.AdminConnections(self.tell)
         self._channel = trio.CancelScope()
         self._accepted = 0
         self._path = handover.path_for(os.environ.get("TMPDIR"), config.listen)
@@ -134,12 +129,12 @@
         """Serve until the reducer asks to end."""
         config = self.config
         with contextlib.ExitStack() as sockets:
-            door = None
+            admin_listener = None
             if config.admin is not None:
                 try:
-                    door = sockets.enter_context(await self._listen(config.admin, DOOR_BACKLOG))
+                    admin_listener = sockets.enter_context(await self._listen(config.admin, admin.BACKLOG))
                 except OSError as error:  # callers are not to suffer for it
-                    log(f"no door for operators at {config.admin[0]}:{config.admin[1]}: {error}")
+                    log(f"no admin listener at {config.admin[0]}:{config.admin[1]}: {error}")
             inherited = await handover.inherit(self._path, config.listen)
             if inherited is not None:
                 self._listener, self._predecessor = inherited
@@ -149,8 +144,8 @@
             sockets.enter_context(self._listener)
             async with trio.open_nursery() as self._nursery:
                 self._nursery.start_soon(self._service, self._watch_signals)
-                if door is not None:
-                    self._nursery.start_soon(self._service, self._accept, door, self._run_visit)
+                if admin_listener is not None:
+                    self._nursery.start_soon(self._service, self._accept, admin_listener, self._admin.serve)
                 if self._predecessor is not None:
                     self._nursery.start_soon(self._guard, self._talk, self._predecessor)
                 known = config.known
@@ -239,9 +234,8 @@
             case session.PassOn(ident, cause):
                 for other in self._others:
                     handover.say(other, handover.OVER, ident, cause)
-            case session.Reply(visitor, data):
-                if visitor in self._visits:
-                    self._visits[visitor].reply = data
+            case session.Reply(connection, data):
+                self._admin.reply(connection, data)
             case session.Log(text):
                 log(text)
             case session.Exit():
@@ -261,30 +255,6 @@
             if due is not None and due <= self.clock.now_us():
                 self.tell(session.Tick())
 
-    # --- the operators' door ---
-
-    async def _run_visit(self, sock: trio.socket.SocketType) -> None:
-        """One connection to the door: a line, its answer, and the end."""
-        self._visitors += 1
-        ident, visit = self._visitors, _Outlet()
-        if len(self._visits) >= DOOR_MOST:
-            next(iter(self._visits.values())).scope.cancel()  # guards the door against those who dawdle
-        self._visits[ident] = visit
-        try:
-            with sock, visit.scope, trio.move_on_after(DOOR_PATIENCE_S), contextlib.suppress(OSError):
-                line = b""
-                while b"\n" not in line and len(line) <= operations.MAX_LINE:
-                    data = await sock.recv(operations.MAX_LINE)
-                    if not data:
-                        break
-                    line += data
-                self.tell(session.Operation(ident, operations.parse(line.partition(b"\n")[0])))
-                while visit.reply:
-                    visit.reply = visit.reply[await sock.send(visit.reply) :]
-                sock.shutdown(trio.socket.SHUT_WR)
-        finally:
-            del self._visits[ident]
-
     # --- the process before this one, and the one after it ---
 
     async def _run_front(self, scope: trio.CancelScope) -> None:
--- a/latchturn/operations.py
+++ b/latchturn/operations.py
@@ -1,4 +1,4 @@
-"""The operators' words, as pure codecs: the lines of the door, and the figures in StatsD form.
+"""The operators' words, as pure codecs: the lines of the admin listener, and the figures in StatsD form.
 
 Owns the calls that staff may make, the one table of figure names and types, and the text of every
 answer. It must never open a socket, keep a count or decide what an answer says: the reducer does.
--- a/latchturn/protocol.py
+++ b/latchturn/protocol.py
@@ -449,7 +449,7 @@
     cursor: int
     known: tuple[ListUpdate, ...]
     settings: str
-    admin: tuple[str, int] | None = None  # the operators' door, None if there is none
+    admin: tuple[str, int] | None = None  # address of the admin listener, None if there is none
     keys: frozenset[str] = frozenset()  # paths of all keys but those of events and those that may be absent
 
 
--- a/latchturn/session/machines.py
+++ b/latchturn/session/machines.py
@@ -178,7 +178,7 @@
 
 
 _P, _PM = PhaseState, PhaseMove
-_LATE = "no operator is obeyed any more: the door answers no"
+_LATE = "no operator is obeyed any more: the answer is no"
 _UNTOLD = "the program ends after SIGTERM alone"
 PHASE = Machine(
     "phase", PhaseState, PhaseMove,
--- a/latchturn/session/phases.py
+++ b/latchturn/session/phases.py
@@ -111,7 +111,7 @@
 
     @property
     def phase(self) -> Phase:
-        """What the program is at: PING at the door and the tests of callers' connections follow it."""
+        """What the program is at: PING at the admin listener and the tests of callers' connections follow it."""
         if self.state is not PhaseState.OPEN and self.state is not PhaseState.DRAINING:
             return Phase.ENDING
         if self.state is PhaseState.DRAINING:
--- a/latchturn/session/reducer.py
+++ b/latchturn/session/reducer.py
@@ -157,8 +157,8 @@
                 self.exchanges.list_told(update)
             case ChannelLost(reason):
                 self.channel.ended(reason)
-            case Operation(visitor, command):
-                self.core.effects.append(Reply(visitor, self.phases.operate(command)))
+            case Operation(connection, command):
+                self.core.effects.append(Reply(connection, self.phases.operate(command)))
             case Listening():
                 self.phases.listens()
             case OtherHolds(descriptors, calls):
--- a/latchturn/session/words.py
+++ b/latchturn/session/words.py
@@ -112,9 +112,9 @@
 
 @dataclass(slots=True, frozen=True)
 class Operation:
-    """A line at the operators' door; None if it is none of theirs. It is answered with a `Reply`."""
+    """A line at the admin listener; no command if it is none of an operator's. It is answered with a `Reply`."""
 
-    visitor: int
+    connection: int
     command: operations.Command | None
 
 
@@ -236,9 +236,9 @@
 
 @dataclass(slots=True, frozen=True)
 class Reply:
-    """Answer a visitor at the operators' door, and close."""
+    """Answer a connection at the admin listener, and close."""
 
-    visitor: int
+    connection: int
     data: bytes
 
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -233,7 +233,7 @@
         return self.do(s.Heard(stream, message))
 
     def ask(self, command: o.Command | None) -> str:
-        """What the operators' door answers to a call."""
+        """What the admin listener answers to a call."""
         self.do(s.Operation(1, command))
         return self.replies[-1]
 
@@ -295,7 +295,7 @@
         self,
         far: int = 2,
         command: str | None = None,
-        door: int = 0,
+        admin_port: int = 0,
         early: tuple[signal.Signals, ...] = (),
     ) -> None:
         self.listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(far + 1)]
@@ -303,7 +303,7 @@
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.port = free.getsockname()[1]
         with socket.create_server(("127.0.0.1", 0)) as free:
-            self.door = door or free.getsockname()[1]
+            self.admin_port = admin_port or free.getsockname()[1]
         for listener in (*self.listeners, self.channel):
             listener.settimeout(10)
         endpoints = [
@@ -317,7 +317,7 @@
         nodes = {"index": 1, "snapshot": True, "endpoints": endpoints}
         self.config = {
             "name": "n0", "listen": f"127.0.0.1:{self.port}",
-            "admin_addr": f"127.0.0.1:{self.door}", "seed": "8c1f30d27a5be964",
+            "admin_addr": f"127.0.0.1:{self.admin_port}", "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "channel": f"127.0.0.1:{self.channel.getsockname()[1]}",
             "known": {"cursor": 1, "cmds": [{"cursor": 1, "nodes": nodes}]}, "settings": NESTED,
@@ -342,10 +342,10 @@
         )  # fmt: skip
 
     def replace(self) -> subprocess.Popen[str]:
-        """Start a second process beside the first, with a door of its own; its links are the ones told of."""
+        """Start a second process beside the first, with an admin address of its own; its links are the ones told of."""
         with socket.create_server(("127.0.0.1", 0)) as free:
-            self.door = free.getsockname()[1]
-        self.config["admin_addr"] = f"127.0.0.1:{self.door}"
+            self.admin_port = free.getsockname()[1]
+        self.config["admin_addr"] = f"127.0.0.1:{self.admin_port}"
         self.old, self.process = self.process, self.start()
         self.feed, _ = self.channel.accept()
         self.links = {k: self.accept(k) for k in self.links}
@@ -382,8 +382,8 @@
         return Peer(socket.create_connection(("127.0.0.1", self.port), 10))
 
     def ask(self, line: str) -> list[str]:
-        """The lines that the operators' door answers to a line."""
-        with socket.create_connection(("127.0.0.1", self.door), 10) as sock:
+        """The lines that the admin listener answers to a line."""
+        with socket.create_connection(("127.0.0.1", self.admin_port), 10) as sock:
             sock.sendall(line.encode() + b"\n")
             return sock.makefile().read().splitlines()
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -1,4 +1,4 @@
-"""The operators' parts: the door's lines, the figures, and what staff may ask of the running program."""
+"""The operators' parts: the lines of the admin listener, the figures, and what staff may ask of the running program."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from latchturn import operations as o
 from latchturn import protocol as p
 from latchturn import session as s
-from latchturn.__main__ import with_door
+from latchturn.__main__ import with_admin_address
 from latchturn.net import unread
 from latchturn.session import limits
 
@@ -195,7 +195,7 @@
             self.assertEqual(unread(ours), 3)
 
 
-class Door(unittest.TestCase):
+class AdminListener(unittest.TestCase):
     def test_its_address_is_in_the_file_or_the_environment_or_there_is_none(self) -> None:
         bare = p.Config("n0", ("127.0.0.1", 1), 1, 384, ("127.0.0.1", 2), 0, (), "")
         named = replace(bare, admin=("127.0.0.1", 3))
@@ -205,22 +205,22 @@
             (named, {"GW_ADMIN_ADDR": "127.0.0.1:4"}, ("127.0.0.1", 3)),
         )
         for config, environ, address in cases:
-            self.assertEqual(with_door(config, environ).admin, address)
+            self.assertEqual(with_admin_address(config, environ).admin, address)
         with self.assertRaises(ValueError):
-            with_door(bare, {"GW_ADMIN_ADDR": "nowhere"})
+            with_admin_address(bare, {"GW_ADMIN_ADDR": "nowhere"})
 
     def test_callers_are_served_where_its_address_is_taken(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as taken:
             port = taken.getsockname()[1]
-            with Program(door=port) as program:
-                program.log_line("no door for operators")
+            with Program(admin_port=port) as program:
+                program.log_line("no admin listener")
                 caller = program.caller()
                 caller.send(set_up(1))
                 self.assertEqual(program.links[1].next().call, 1)
 
     def test_every_line_is_answered_beside_those_who_dawdle(self) -> None:
         with Program() as program:
-            dawdlers = [socket.create_connection(("127.0.0.1", program.door), 10) for _ in range(20)]
+            dawdlers = [socket.create_connection(("127.0.0.1", program.admin_port), 10) for _ in range(20)]
             self.assertIn(program.ask("PING")[0], ("OK serving", "ERR starting"))
             self.assertTrue(program.ask("HELP")[0].startswith("ERR "))
             self.assertTrue(program.ask("x" * 5000)[0].startswith("ERR "))
