Suspect another machine at the address where all links are reset after a silence

All links reset is a death only within 0.5 s of a word, and the new links' words were taken as life of the process at which the calls stood. Change: such resets are kept as a suspicion; calls from before them are over 6.75 s after the last word before, unless the end of one of them is told, which only the same process can do. Tests of liveness, missed ends, session and guards pass.

--- a/latchturn/session/exchanges.py
+++ b/latchturn/session/exchanges.py
@@ -234,6 +234,7 @@
             outcome = OUTCOMES.get(release.cause, i.Outcome.NO_LINE)  # type: ignore[call-overload]
             self.attempts.end(attempt, outcome, cause=NOTES.get(release.note, i.Cause.NONE), report=report)
         elif call is not None and self.may_have(exchange, call) and release.cause in ENDS:
+            self.liveness.ended(exchange, call)
             over = release.cause == ReleaseCause.NORMAL
             self.calls.end_standing(call, i.Outcome.RELEASED if over else i.Outcome.CUT, report)
             self.end_notices.send(call.caller, Release(call.ident, release.cause))
--- a/latchturn/session/liveness.py
+++ b/latchturn/session/liveness.py
@@ -25,7 +25,7 @@
     UNHEARD_LINK_US,
 )
 from .part import Part
-from .state import Exchange, Link
+from .state import Call, Exchange, Link
 from .trace import CloseReason, TraceEvent
 
 
@@ -102,15 +102,32 @@
         together = self.core.now - exchange.reset_us <= RESET_TOGETHER_US
         busy = self.core.now - exchange.heard_us <= RESET_TOGETHER_US
         exchange.reset_us = self.core.now
-        if exchange.state is i.ListState.READY and together and busy and not others:
+        if exchange.state is not i.ListState.READY or not together or others:
+            return
+        if busy:
             self.calls.cut(exchange, self.core.now + 1, "reset all its links at once")
+            return
+        # Another machine may have the address of one that vanished, and reset what it does not know.
+        if not exchange.replaced_us:
+            exchange.replaced_heard_us = exchange.heard_us
+        exchange.replaced_us = self.core.now
+
+    def ended(self, exchange: Exchange, call: Call) -> None:
+        """An exchange has told the end of a call, which only the process at which it stood can do."""
+        if call.stood_us < exchange.replaced_us:
+            exchange.replaced_us = 0
 
     # --- conclusions ---
 
     def check(self, exchange: Exchange) -> None:
         """Now and then: ask an exchange that is quiet for a sign of life, and end its calls in time."""
         if not exchange.standing:
+            exchange.replaced_us = 0
             return
+        if exchange.replaced_us and self.core.now - exchange.replaced_heard_us >= SILENT_US:
+            calls = self.calls.stood_before(exchange, exchange.replaced_us)
+            self.calls.end_unheard(exchange, calls, "reset all its links after a silence, and has told no end since")
+            exchange.replaced_us = 0
         silent_us = self.core.now - exchange.alive_us
         if silent_us >= SILENT_US:
             self._silent(exchange)
--- a/latchturn/session/state.py
+++ b/latchturn/session/state.py
@@ -161,6 +161,8 @@
     quiet: bool = False  # whether it has been noted as quiet since then
     probed_us: int = 0  # when a link was last opened for a sign of life
     reset_us: int = 0  # when it last reset a link
+    replaced_us: int = 0  # when it reset all its links after a silence, 0 once it is known what that meant
+    replaced_heard_us: int = 0  # when it had been heard before that
     lost_opening_us: int = 0  # when the latest link came up that was lost before what is said first had come
     collect_us: int = 0  # when a link is to be opened to hear ends that were told on lost links, 0 if none is
     failures: int = 0  # connections in a row that came to nothing
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -229,6 +229,46 @@
         written = [message for stream in self.old for message in desk.do(s.Closed(stream))]
         self.assertIn((1, END), written)
 
+    def reset_after_silence(self) -> None:
+        """All links are reset, some time after the last word; what answers on new ones speaks at once."""
+        self.began = self.desk.now
+        self.desk.pass_time(2 * SECOND)
+        for stream in self.old:
+            self.desk.do(s.Closed(stream))
+        self.come_up()
+
+    def come_up(self) -> None:
+        for stream, link in list(self.desk.session.links.by_stream.items()):
+            if not link.up_us:
+                self.desk.do(s.Connected(stream))
+                self.desk.hear(stream, group_state(9))
+
+    def pass_time_with_new_links(self, until_us: int) -> list[tuple[int, p.Message]]:
+        written: list[tuple[int, p.Message]] = []
+        while self.desk.now < until_us:
+            written += self.desk.pass_time_in_touch(SECOND // 10, SECOND // 10)
+            self.come_up()
+        return written
+
+    def test_all_links_reset_after_a_silence_end_its_calls_in_time_though_new_links_speak(self) -> None:
+        # Soak seed 25: a machine vanished, and another had its address before any connect had failed.
+        desk = self.desk
+        self.reset_after_silence()
+        (stream, _), *_ = desk.hear(1, set_up(6))
+        desk.hear(stream, p.Answer(6, b"yes"))
+        self.assertIn((1, END), self.pass_time_with_new_links(self.began + TOLD_US))
+        self.pass_time_with_new_links(self.began + 3 * TOLD_US)
+        self.assertIn(6, desk.session.calls.by_id)  # it stands at the process that answers now
+
+    def test_but_not_if_what_answers_has_told_the_end_of_a_call_from_before(self) -> None:
+        desk = self.desk
+        desk.stand(7)
+        self.reset_after_silence()
+        new = next(k for k, link in desk.session.links.by_stream.items() if link.exchange == 101)
+        desk.hear(new, p.Release(7, p.ReleaseCause.NORMAL))
+        self.pass_time_with_new_links(self.began + 3 * TOLD_US)
+        self.assertIn(5, desk.session.calls.by_id)
+
     def test_one_link_reset_ends_nothing(self) -> None:
         desk = self.desk
         desk.do(s.Closed(self.old[0]))
