Suspect no call inherited from a process before only because it has no link

What callers would have seen: after a replacement, calls that went on were told over at once. Cause: an inherited call has no link, and the moment since which its end may be unheard was 0, which lies before every lost link, and before none. Change: it counts from the moment at which the call was inherited. Evidence: the new test fails without the change.

--- a/latchturn/session/calls.py
+++ b/latchturn/session/calls.py
@@ -177,7 +177,7 @@
             self.core.counters["calls_inherited"] += 1
             call = self.by_id[ident] = Call(SetUp(ident, "", 0, "", b""), 0, self.core.now)
             call.state = CALL.go(call.state, CallMove.ANSWER)
-            call.stands_at, call.stood_us = exchange, self.core.now
+            call.stands_at, call.stood_us, call.unheard_us = exchange, self.core.now, self.core.now
             self.exchanges.by_id[exchange].standing.add(ident)
             # Its end may be told on the links of the process before, which are being closed.
             self.missed_ends.collect_soon(self.exchanges.by_id[exchange])
--- a/tests/test_missed_ends.py
+++ b/tests/test_missed_ends.py
@@ -186,6 +186,12 @@
         desk.pass_time_in_touch(SOON_US, SOON_US // 4)
         self.assertEqual(len(desk.connects), connects + 1)
 
+    def test_it_goes_on_until_its_end(self) -> None:
+        desk = Desk()
+        desk.do(s.Bequeathed(7, 101))
+        desk.pass_time_in_touch(3 * TOLD_US)
+        self.assertIn(7, desk.session.calls.by_id)
+
     def start_among_hung_exchanges(self) -> tuple[Desk, int]:
         """A process has just started; a link to an exchange that hangs is up and silent."""
         desk = Desk()
