--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -95,7 +95,6 @@
     number: int
     writer: asyncio.StreamWriter
     set_ups: set[int] = field(default_factory=set)  # ids of set-ups open on it
-    carried: bool = False  # whether any set-up was sent on it
 
     def send(self, data: bytes) -> None:
         """Write bytes; nothing happens on a connection that has ended."""
@@ -128,26 +127,11 @@
         self.over: dict[int, tuple[float, str]] = {}  # call -> when and how it ended here
         self.repeat: dict[int, bytes] = {}  # releases to be sent on the next connection too
         self.spoil: Callable[[Exchange, int, bytes], bytes] | None = None  # changes an encoded answer
-        self.max_connections = 1 << 30  # with so many it does not listen: connects are refused
         self.accepted = 0
-        self.server: asyncio.Server | None = None
 
     async def listen(self) -> None:
         """Start to listen."""
-        if self.server is None:
-            self.server = await asyncio.start_server(self._serve, HOST, self.port)
-
-    def stop_listening(self) -> None:
-        """Stop listening: further connects are refused; open connections stay."""
-        if self.server is not None:
-            self.server.close()
-            self.server = None
-
-    def hold_few_connections(self, most: int) -> None:
-        """Accept no connection while that many are open: connects are refused meanwhile."""
-        self.max_connections = most
-        if len(self.connections) >= most:
-            self.stop_listening()
+        await asyncio.start_server(self._serve, HOST, self.port)
 
     def report(self) -> bytes:
         """The load report: free circuits and size of the group, set-ups a second that it can take."""
@@ -164,8 +148,6 @@
         connection = Connection(self.accepted, writer)
         self.connections.append(connection)
         self.record.note(self.name, f"connection {connection.number} accepted")
-        if len(self.connections) >= self.max_connections:
-            self.stop_listening()
         connection.send(message(STATE, 0, (REPORT, self.report())))
         for call, data in self.repeat.items():
             self.record.note(self.name, f"release of {call:016x} sent again on connection {connection.number}")
@@ -177,28 +159,20 @@
                 unread += data
                 for kind, call, parameters in messages(unread):
                     self._received(connection, kind, call, parameters)
-        self.lose(connection, "by the session controller")
+        self._closed(connection)
 
-    def lose(self, connection: Connection, how: str, reset: bool = False) -> None:
-        """End a connection. Its open set-ups are given up, standing calls stay."""
-        if connection not in self.connections:
-            return
+    def _closed(self, connection: Connection) -> None:
+        """The session controller has closed a connection. Its open set-ups are given up, standing calls stay."""
         self.connections.remove(connection)
-        self.record.note(self.name, f"connection {connection.number} ended {how}")
+        self.record.note(self.name, f"connection {connection.number} closed by the session controller")
         connection.set_ups.clear()
-        if self.server is None and len(self.connections) < self.max_connections:
-            asyncio.get_running_loop().create_task(self.listen())
-        if reset:
-            connection.writer.transport.abort()
-        else:
-            connection.writer.close()
+        connection.writer.close()
 
     def _received(self, connection: Connection, kind: int, call: int, parameters: dict[int, bytes]) -> None:
         if kind == SET_UP:
             self.set_ups.append((self.record.now(), call))
             self.record.note(self.name, f"set-up {call:016x} on connection {connection.number}")
             connection.set_ups.add(call)
-            connection.carried = True
             self.send_state()
             asyncio.get_running_loop().call_later(self.answer_s, self._answer, connection, call)
         elif kind == RELEASE:
@@ -346,7 +320,6 @@
     finals: list[tuple[float, str]] = field(default_factory=list)
     description: bytes | None = None  # of the answer
     released: tuple[float, int] | None = None  # when its release came after the answer, and the cause
-    hung_up: float = 0.0
 
 
 class Caller:
@@ -355,7 +328,6 @@
     def __init__(self, record: Record, port: int, name: str, ids: Iterator[int], calls: dict[int, Call]) -> None:
         self.record, self.port, self.name, self.ids, self.calls = record, port, name, ids, calls
         self.writer: asyncio.StreamWriter | None = None
-        self.heard: list[int] = []  # calls whose release the session controller has confirmed
 
     async def connect(self) -> None:
         """Open the connection."""
@@ -377,7 +349,6 @@
     def _received(self, kind: int, ident: int, parameters: dict[int, bytes]) -> None:
         call = self.calls.get(ident)
         if kind == HEARD:
-            self.heard.append(ident)
             self.record.note(self.name, f"release of {ident:016x} heard by the session controller")
         elif call is None:
             self.record.note(self.name, f"message of type {kind} for {ident:016x}, which is no call of these callers")
@@ -417,12 +388,6 @@
         )  # fmt: skip
         return call
 
-    def hang_up(self, call: Call) -> None:
-        """Release a standing call."""
-        call.hung_up = self.record.now()
-        self.record.note(self.name, f"releases {call.ident:016x}")
-        self.send(message(RELEASE, call.ident, (CAUSE, b"\x10")))
-
 
 # --- the program ---
 
@@ -474,12 +439,13 @@
         self.config = folder / "config.json"
         self.process: subprocess.Popen[bytes] | None = None
         self.log_path = folder / "log"
+        self.memory_mb, self.sockets = 192, 512  # the limits in its configuration
 
     async def start(self) -> None:
         """Start a process and wait until it says yes to PING."""
         config = {
             "name": "n0", "listen": f"{HOST}:{self.port}", "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+            "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.sockets},
             "channel": f"{HOST}:{self.discovery.port}", "known": self.discovery.known(), "settings": settings(),
             "admin_addr": f"{HOST}:{self.admin_port}",
         }  # fmt: skip
@@ -513,6 +479,15 @@
         except (OSError, TimeoutError):
             return ""
 
+    def memory_kb(self) -> int:
+        """The memory of the process, without the pages of files; 0 if it has ended."""
+        assert self.process is not None
+        with contextlib.suppress(OSError):
+            for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
+                if line.startswith("RssAnon"):
+                    return int(line.split()[1])
+        return 0
+
     def kill(self, number: signal.Signals = signal.SIGKILL) -> None:
         """Send a signal to the process."""
         if self.process is not None and self.process.poll() is None:
@@ -557,7 +532,11 @@
 
 
 def run_case(
-    play: Callable[[World, bool], Awaitable[list[str]]], numbers: tuple[int, ...] = (1, 2, 3), hold_s: float = 5.0
+    play: Callable[[World, bool], Awaitable[list[str]]],
+    numbers: tuple[int, ...] = (1, 2, 3),
+    hold_s: float = 5.0,
+    memory_mb: int = 192,
+    sockets: int = 512,
 ) -> None:
     """Play a case and exit: 1 if `play` returns broken rules, 0 if none, 2 if the case could not be run."""
     folder = Path(sys.argv[1]).resolve()
@@ -571,6 +550,7 @@
             nonlocal world
             asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)  # tasks cancelled at the end
             world = World(record, Path(temporary), numbers, hold_s)
+            world.program.memory_mb, world.program.sockets = memory_mb, sockets
             await world.start()
             return await asyncio.wait_for(play(world, trouble), 105)
 
