--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -26,7 +26,10 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent.parent
-HOST = "127.0.0.1"
+# A loopback address of this run alone, so that runs at the same time share no port; processes of a case inherit it.
+_RUN = os.getpid()
+HOST = os.environ.setdefault("CASE_HOST", f"127.{20 + _RUN // 62_500 % 200}.{_RUN // 250 % 250}.{1 + _RUN % 250}")
+_ports = itertools.count(20_000)  # below those that the system gives to outgoing connections
 # Message types and parameter codes of the protocol page.
 SET_UP, PROGRESS, ANSWER, RELEASE, HEARD, STATE, TEST, TEST_RESULT = 1, 6, 9, 12, 16, 43, 52, 53
 CLASS, WAIT, TENANT, NUMBER, FIGURES, RETRY, NOTE, REPORT, CAUSE, DESCRIPTION = (
@@ -60,9 +63,11 @@
 
 
 def free_port() -> int:
-    """A port of the loopback address on which nothing listens."""
-    with socket.create_server((HOST, 0)) as sock:
-        return int(sock.getsockname()[1])
+    """A port of the address of this run on which nothing listens, a new one with each call."""
+    while True:
+        port = next(_ports)
+        with contextlib.suppress(OSError), socket.create_server((HOST, port)):
+            return port
 
 
 class Record:
@@ -466,7 +471,7 @@
                 self.record.note("platform", "PING says yes")
                 return
             await asyncio.sleep(0.05)
-        raise CannotRun("the session controller did not become ready within 10 s")
+        raise CannotRun(f"the session controller did not become ready within 10 s, exit code {self.process.poll()}")
 
     async def ask(self, line: str) -> str:
         """Ask the admin listener; returns the first line of the answer, empty if there is none."""
