Let only a broken rule give exit code 1 in the cases of the review

Cause: an unexpected error in a test would have ended it with 1, and a test that is terminated left its program running. Change: any other error gives 2; SIGTERM to a test ends the program that it started.

--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -548,6 +548,7 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
     code = 2
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))  # so that the process under test is ended, too
     with tempfile.TemporaryDirectory() as temporary:
         world: World | None = None
 
@@ -566,7 +567,7 @@
             for line in broken:
                 record.note("RULE BROKEN", line)
             print("\n".join(broken[:10]) or "the rule held", flush=True)
-        except (CannotRun, OSError, TimeoutError) as error:
+        except Exception as error:  # noqa: BLE001 - only a broken rule may give exit code 1
             record.note("case", f"could not be run: {error!r}")
             print(f"could not be run: {error!r}", flush=True)
         finally:
