--- a/bench/reducer.py
+++ b/bench/reducer.py
@@ -58,6 +58,7 @@
     generator, session = random.Random(7), s.Session(settings(i), 7, 1024)
     now_us, spent_s = 1_700_000_000_000_000, 0.0
     links: list[int] = []
+    channel_connections: list[int] = []
 
     def timed_step(input_: Any) -> list[Any]:
         nonlocal spent_s
@@ -75,6 +76,8 @@
                 if isinstance(effect, s.Write):
                     written.extend((effect.stream, m) for m in effect.messages)
                     queue.append(s.WriteCompleted(effect.stream))
+                elif isinstance(effect, s.ConnectChannel):
+                    channel_connections.append(getattr(effect, "connection", 0))
                 elif isinstance(effect, s.Connect):
                     links.append(effect.stream)
                     queue.append(s.Connected(effect.stream))
@@ -92,7 +95,8 @@
             submit(s.Tick())
         if call % 10 == 0:
             submit(*(s.MessageReceived(k, p.GroupState(0, {"spare": 30 + call % 7, "total": 40})) for k in links))
-            submit(s.ChannelLost("made up"))
+            names_connection = "connection" in s.ChannelLost.__slots__  # not in earlier revisions
+            submit(s.ChannelLost(*channel_connections[-1:] * names_connection, "made up"))
         written.clear()
         figures = {"dest": generator.randrange(1, 7), "width": 1, "via": -1}
         class_name = "premium-quote"
--- a/latchturn/checking/environment.py
+++ b/latchturn/checking/environment.py
@@ -57,7 +57,7 @@
 COMMON_KINDS = {"set_up", "tick", "answer", "refuse", "end", "cut", "accept", "through"}
 # Late or stray replies of exchanges. After all calls have ended, their effect does not depend on the time.
 # Kinds of timers that have no subject once they are cancelled.
-CANCELLED_TIMER_KINDS = (TimerKind.DEADLINE, TimerKind.ANSWER_HOLD)
+CANCELLED_TIMER_KINDS = (TimerKind.DEADLINE, TimerKind.CHANNEL, TimerKind.ANSWER_HOLD)
 MISSING_BYTES = (1, 2, 8)  # at the end of a truncated answer; 8 are its whole description
 LATE_KINDS = {"late", "twice", "astray"}
 
@@ -150,6 +150,7 @@
         self.unlisted_restarts_us: dict[int, int] = {}  # exchange id -> its restart, not yet reported by the list
         self.timer_pending = False  # the clock has reached a timer that has not run yet
         self.accepting_callers = False
+        self.channel_connection = 0  # the latest connection to the command channel
         # Time with each input, effect, or None for an advance of the clock; None if nobody reads it.
         self.recording: list[tuple[int, object]] | None = None
         records = [self._exchange_record(exchange) for exchange in self.simulated_exchanges.values()]
@@ -231,6 +232,8 @@
                 if (peer := self.peers.get(stream)) is not None and not peer.partial:
                     del self.peers[stream]
                     queue.append(s.ConnectionClosed(stream))
+            case s.ConnectChannel(connection):
+                self.channel_connection = connection
             case s.AcceptCallers(on):
                 if on and not self.accepting_callers and self.scope.starts_beside_another:
                     for _ in range(self.scope.callers):
@@ -705,7 +708,7 @@
         """Send an update of the exchange list with the given records."""
         self.last_update_number += 1
         self.last_update = p.ListUpdate(self.last_update_number, i.ListKind.CHANGES, records)
-        self._submit(s.ListUpdateReceived(self.last_update))
+        self._submit(s.ListUpdateReceived(self.channel_connection, self.last_update))
 
     def _do_drain(self, exchange_id: int) -> None:
         """The list reports an exchange as draining."""
@@ -743,11 +746,11 @@
     def _do_list_twice(self) -> None:
         """The last list update arrives a second time."""
         assert self.last_update is not None
-        self._submit(s.ListUpdateReceived(self.last_update))
+        self._submit(s.ListUpdateReceived(self.channel_connection, self.last_update))
 
     def _do_channel_lost(self) -> None:
         """The command channel is lost."""
-        self._submit(s.ChannelLost("reset"))
+        self._submit(s.ChannelLost(self.channel_connection, "reset"))
 
     # --- operators ---
 
--- a/latchturn/checking/history.py
+++ b/latchturn/checking/history.py
@@ -182,7 +182,7 @@
                 for update in updates:
                     self._apply_list_update(update)
                 self.release_us, self.drain_grace_us = settings.release_us, settings.drain_grace_us
-            case s.ListUpdateReceived(update):
+            case s.ListUpdateReceived(_, update):
                 self._apply_list_update(update)
             case s.CallInherited(call_id, exchange):
                 if exchange in self.exchanges and not self.exchanges[exchange].gone and call_id not in self.calls:
--- a/latchturn/net.py
+++ b/latchturn/net.py
@@ -123,7 +123,7 @@
         self.poll_monitor = PollMonitor()
         self._stream_tasks: dict[int, _StreamTask] = {}
         self._admin = admin.AdminConnections(self.submit)
-        self._channel_scope = trio.CancelScope()
+        self._channel_scopes: dict[int, trio.CancelScope] = {}  # by connection to the command channel
         self._accepted_count = 0
         self._handover_path = handover.socket_path(os.environ.get("TMPDIR"), config.listen)
         self._listener: trio.socket.SocketType
@@ -229,10 +229,12 @@
                 idle_task = self._stream_tasks.get(stream)
                 if idle_task is not None and idle_task.sock is not None and not unread_bytes(idle_task.sock):
                     idle_task.scope.cancel()
-            case session.ConnectChannel():
-                self._channel_scope.cancel()
-                self._channel_scope = trio.CancelScope()
-                self._nursery.start_soon(self._run_logged, self._run_channel, effect, self._channel_scope)
+            case session.ConnectChannel(channel_connection):
+                scope = self._channel_scopes[channel_connection] = trio.CancelScope()
+                self._nursery.start_soon(self._run_logged, self._run_channel, effect, scope)
+            case session.CloseChannel(channel_connection):
+                if channel_connection in self._channel_scopes:
+                    self._channel_scopes[channel_connection].cancel()
             case session.AcceptCallers(on):
                 self._serving_scope.cancel()
                 if on:
@@ -444,7 +446,7 @@
     # --- the command channel ---
 
     async def _run_channel(self, request: session.ConnectChannel, scope: trio.CancelScope) -> None:
-        """Serve one connection to the command channel until it ends or another one replaces it."""
+        """Serve one connection to the command channel until it ends or the reducer closes it."""
         reason = "closed"
         with scope:
             try:
@@ -455,11 +457,12 @@
                     decoder = protocol.frame_decoder()
                     while data := await sock.recv(RECEIVE_BYTES):
                         for update in decoder.feed(data):
-                            self.submit(session.ListUpdateReceived(update))
+                            self.submit(session.ListUpdateReceived(request.connection, update))
             except (OSError, trio.TooSlowError, protocol.ProtocolError) as error:
                 reason = str(error) or type(error).__name__
+        del self._channel_scopes[request.connection]
         if not scope.cancelled_caught:
-            self.submit(session.ChannelLost(reason))
+            self.submit(session.ChannelLost(request.connection, reason))
 
     # --- signals ---
 
--- a/latchturn/session/inputs_and_effects.py
+++ b/latchturn/session/inputs_and_effects.py
@@ -107,15 +107,17 @@
 
 @dataclass(slots=True, frozen=True)
 class ListUpdateReceived:
-    """The command channel has delivered a frame."""
+    """A connection to the command channel has delivered a frame."""
 
+    connection: int  # the one of a `ConnectChannel`
     update: ListUpdate
 
 
 @dataclass(slots=True, frozen=True)
 class ChannelLost:
-    """The connection to the command channel that the last `ConnectChannel` asked for has failed or ended."""
+    """A connection to the command channel has failed or ended; a `CloseChannel` is not followed by this."""
 
+    connection: int
     reason: str
 
 
@@ -224,13 +226,21 @@
 
 @dataclass(slots=True, frozen=True)
 class ConnectChannel:
-    """Connect to the command channel in place of any open connection to it, and ask for later events."""
+    """Open a further connection to the command channel, and ask there for the events after the last one applied."""
 
+    connection: int
     address: tuple[str, int]
     cursor: int  # number of the last event applied
     timeout_us: int  # of the connect
 
 
+@dataclass(slots=True, frozen=True)
+class CloseChannel:
+    """Close a connection to the command channel."""
+
+    connection: int
+
+
 @dataclass(slots=True, frozen=True)
 class AcceptCallers:
     """Start or stop accepting connections; only one process at the listen address accepts them at a time."""
@@ -274,6 +284,6 @@
 
 
 Effect = (
-    Connect | Write | Close | CloseIdle | ConnectChannel | AcceptCallers | HandOverCalls | ForwardRelease
+    Connect | Write | Close | CloseIdle | ConnectChannel | CloseChannel | AcceptCallers | HandOverCalls | ForwardRelease
     | Reply | Log | Exit
 )  # fmt: skip
--- a/latchturn/session/limits.py
+++ b/latchturn/session/limits.py
@@ -65,13 +65,17 @@
 
 # --- command channel ---
 
-# Discovery sends an empty frame each second. Changes that a silent channel withholds count as received after 4 s, so
+# Discovery sends an empty frame each second. Changes that a stopped channel withholds count as received after 4 s, so
 # silence, sweep, connect and pause together must stay well below that.
-CHANNEL_SILENCE_US = 1_750_000  # a connection silent for this long is replaced
+CHANNEL_SILENCE_US = 1_750_000  # if a connection is silent for this long, a further one is opened
 CHANNEL_SILENCE_MAX_US = 3_500_000  # grown limit; with a sweep, a connect and a pause still under 6 s
+# A change counts as received 7 s after its publication. With the grace of drains and a margin, nothing that takes
+# longer than this to arrive is of use.
+CHANNEL_PATIENCE_US = 10 * SECOND
+MAX_CHANNEL_CONNECTIONS = 5  # open at a time; one given up for another has waited for nearly CHANNEL_PATIENCE_US
 CHANNEL_CONNECT_TIMEOUT_US = 700_000
 CHANNEL_CONNECT_TIMEOUT_MAX_US = 1_200_000  # grown limit; a connect whose SYN is retransmitted once succeeds after 1 s
-CHANNEL_TIMEOUT_GROWTH = 1.3  # factor on both time-outs for each connection in a row that delivered nothing
+CHANNEL_TIMEOUT_GROWTH = 1.3  # factor on both limits for each connection in a row that delivered nothing
 CHANNEL_RECONNECT_PAUSE_US = 200_000  # at most, after a connection that delivered nothing
 
 # --- callers and calls ---
--- a/latchturn/session/reducer.py
+++ b/latchturn/session/reducer.py
@@ -154,11 +154,11 @@
                 self.links.connected(stream)
             case ConnectFailed(stream, refused):
                 self.links.connect_failed(stream, refused)
-            case ListUpdateReceived(update):
-                self.channel.frame_received(update.number)
+            case ListUpdateReceived(connection, update):
+                self.channel.frame_received(connection, update.number)
                 self.exchanges.apply_list_update(update)
-            case ChannelLost(reason):
-                self.channel.connection_lost(reason)
+            case ChannelLost(connection, reason):
+                self.channel.connection_lost(connection, reason)
             case AdminRequest(connection, command):
                 self.core.effects.append(Reply(connection, self.phases.handle_command(command)))
             case ListenerReady():
--- a/latchturn/session/trace.py
+++ b/latchturn/session/trace.py
@@ -37,6 +37,7 @@
     EXCHANGE_DEAD = "exchange dead"
     CHANNEL_CONNECTING = "command channel asked"
     CHANNEL_ANSWERED = "command channel answers"
+    CHANNEL_SILENT = "command channel silent"
     CHANNEL_LOST = "command channel lost"
     PHASE = "phase"
 
@@ -49,6 +50,7 @@
         TraceEvent.EXCHANGE_RESPONSIVE,
         TraceEvent.EXCHANGE_DEAD,
         TraceEvent.CHANNEL_ANSWERED,
+        TraceEvent.CHANNEL_SILENT,
         TraceEvent.CHANNEL_LOST,
         TraceEvent.PHASE,
     )
--- a/rig/scenario.py
+++ b/rig/scenario.py
@@ -32,7 +32,9 @@
 CROWD_SHARE = 0.25  # of trials that have a crowd
 FAMILY_SHARE = 0.7  # of trials that have a given family
 LATEST_FAMILIES_FROM_SEED = 201  # the first seed whose trial can have the latest families
+SLOW_DISCOVERY_S = 4.0  # in scenario `late`
 NAMED_HANG_S = 3.0  # in scenario `hung`
+LATE_DRAIN_S = 11.0  # a drain that is received late lasts longer than the last set-up may come after it
 NAMED_RESETS_S = (0.5, 1.5, 2.5)  # resets of links after the start of a hang, in scenario `hung`
 BREAK_KINDS = ("reset", "close", "forget")  # how connections to exchanges end
 
@@ -197,6 +199,10 @@
     trial.break_links(number, share, break_kind)
 
 
+async def _drain(number: int, gone_after_s: float, trial: Trial) -> None:
+    await trial.drain(number, gone_after_s, same_address=False)
+
+
 async def _end_exchange(
     kind: str, number: int, gone_after_s: float, replaced_after_s: float, same_address: bool, trial: Trial
 ) -> None:
@@ -273,7 +279,20 @@
     return [(draws.time_s(0.0, 4.0), lambda trial: _call_function(partial(trial.change_exchange_options, **changes)))]
 
 
-LATEST_FAMILIES: dict[str, Callable[[TrialDraws], list[TimedStep]]] = {"truncated": truncated_answers}
+def late_frames(draws: TrialDraws) -> list[TimedStep]:
+    """Frames of the command channel that arrive late on every connection, and exchanges that drain meanwhile."""
+    begin_s, transit_s = draws.time_s(0.0, 4.0), draws.random.uniform(0.5, 7.5)
+    steps: list[TimedStep] = [(begin_s, lambda trial: trial.delay_discovery(transit_s))]
+    for _ in range(draws.random.randint(1, 2)):
+        number = draws.next_exchange()
+        steps.append((begin_s + draws.random.uniform(0.0, 6.0), partial(_drain, number, LATE_DRAIN_S)))
+    return steps
+
+
+LATEST_FAMILIES: dict[str, Callable[[TrialDraws], list[TimedStep]]] = {
+    "truncated": truncated_answers,
+    "late": late_frames,
+}
 
 
 def plan(seed: int) -> Plan:
@@ -342,8 +361,19 @@
     return Plan(0, 3 * SECOND, 4, 5, 0, ("truncated",), steps)
 
 
+def slow_discovery() -> Plan:
+    """Frames of the command channel begin to arrive late, and two exchanges drain after that."""
+    steps: tuple[TimedStep, ...] = (
+        (0.5, lambda trial: trial.delay_discovery(SLOW_DISCOVERY_S)),
+        (1.0, partial(_drain, 1, LATE_DRAIN_S)),
+        (3.0, partial(_drain, 2, LATE_DRAIN_S)),
+    )
+    return Plan(0, 3 * SECOND, 4, 5, 0, ("late",), steps)
+
+
 NAMED_PLANS: dict[str, Callable[[], Plan]] = {
     "incident": silent_exchanges,
     "hung": hung_exchanges,
     "truncated": truncated_answers_in_pieces,
+    "late": slow_discovery,
 }
--- a/rig/trial.py
+++ b/rig/trial.py
@@ -211,6 +211,11 @@
         await self.discovery.end_outage()
         self.record_fault("discovery back")
 
+    async def delay_discovery(self, transit_s: float) -> None:
+        """Let everything that discovery sends arrive late from now on."""
+        self.record_fault(f"frames of discovery arrive {transit_s:.1f} s late")
+        self.discovery.delay_all_frames(transit_s)
+
     # --- faults: exchanges and the network to them ---
 
     async def partition(self, number: int, seconds: float) -> None:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -205,6 +205,7 @@
         self.written: list[tuple[int, p.Message]] = []
         self.connects: list[s.Connect] = []
         self.channel_connects: list[s.ConnectChannel] = []
+        self.channel_closed: list[int] = []
         self.closed: list[int] = []
         self.replies: list[str] = []
         self.handed_over_calls: tuple[tuple[int, int], ...] = ()
@@ -235,6 +236,8 @@
                 self.connects.append(effect)
             elif isinstance(effect, s.ConnectChannel):
                 self.channel_connects.append(effect)
+            elif isinstance(effect, s.CloseChannel):
+                self.channel_closed.append(effect.connection)
             elif isinstance(effect, s.Close):
                 self.closed.append(effect.stream)
             elif isinstance(effect, s.CloseIdle):
