--- a/latchturn/boundaries.py
+++ b/latchturn/boundaries.py
@@ -27,6 +27,7 @@
     MessageType,
     ParameterCode,
     ProtocolError,
+    Release,
     SetUp,
     decode_message,
     message_splitter,
@@ -123,8 +124,9 @@
         return Boundary.UNCERTAIN if within is _Start.POSSIBLE or length > longest_bytes else Boundary.CERTAIN
 
     def contains_next(self, raw: bytes, following: bytes) -> bool:
-        """Whether a valid message begins in the last `USUAL_MESSAGE_BYTES` of an encoded one and reaches its end."""
-        return self._next_message_within(raw, following, USUAL_MESSAGE_BYTES) is _Start.COMPLETE
+        """Whether a message begins in the last `USUAL_MESSAGE_BYTES` of an encoded one and reaches its end: a valid
+        one, or so much of one that its first parameter fits into it."""
+        return self._next_message_within(raw, following, USUAL_MESSAGE_BYTES) in (_Start.COMPLETE, _Start.BEGUN)
 
     def _next_message_within(self, raw: bytes, following: bytes, longest_bytes: int) -> _Start:
         """The best evidence for a message that begins within `raw` and fills its end."""
@@ -183,9 +185,9 @@
 
 
 class ExchangeDecoder:
-    """Decodes the stream of an exchange, and finds answers that end within the message after them.
+    """Decodes the stream of an exchange, and finds answers and releases that end within the message after them.
 
-    Only answers are judged: of all messages of an exchange they alone carry content that is passed on unchanged.
+    Only answers can be uncertain: of all messages of an exchange they alone carry content that is passed on unchanged.
     """
 
     def __init__(self) -> None:
@@ -213,6 +215,8 @@
             if isinstance(message, Answer):
                 self._answer = raw
                 self._judge_answer()
+            elif isinstance(message, Release) and EXCHANGE_CHECK.contains_next(raw, self._splitter.unread):
+                raise ProtocolError("a release ends within the next message")
             yield ReceivedMessage(message, not self._answer)
             if self._answer:
                 return
@@ -229,8 +233,8 @@
 class CallerDecoder:
     """Decodes the stream of a caller, and finds set-ups that end within the message after them.
 
-    A set-up that nobody sent in this form must not reach an exchange. Callers may take long between two messages, so
-    only what has arrived together with a set-up is considered, and no set-up waits for more.
+    A set-up that nobody sent in this form must not reach an exchange. Callers may take long to send a message, so only
+    what has arrived with the last byte of a set-up is considered, and no set-up waits for more.
     """
 
     def __init__(self) -> None:
@@ -251,6 +255,9 @@
             yield ReceivedMessage(message, True)
 
 
+StreamDecoder = CallerDecoder | ExchangeDecoder
+
+
 def contains_message_header(data: bytes, calls: Iterable[int]) -> bool:
     """Return whether the data contains the header of a message about one of the calls, or of a group state."""
     if GROUP_STATE_HEADER in data:
--- a/latchturn/net.py
+++ b/latchturn/net.py
@@ -376,7 +376,7 @@
         stream_id: int,
         sock: trio.socket.SocketType,
         stream_task: _StreamTask,
-        decoder: boundaries.CallerDecoder | boundaries.ExchangeDecoder,
+        decoder: boundaries.StreamDecoder,
     ) -> None:
         """Read until the reducer closes the stream or the connection breaks."""
         try:
@@ -392,10 +392,7 @@
             self.submit(session.ConnectionClosed(stream_id))
 
     async def _read_messages(
-        self,
-        stream_id: int,
-        sock: trio.socket.SocketType,
-        decoder: boundaries.CallerDecoder | boundaries.ExchangeDecoder,
+        self, stream_id: int, sock: trio.socket.SocketType, decoder: boundaries.StreamDecoder
     ) -> None:
         """Pass the messages of a stream to the reducer until the end of input or the first malformed message."""
         try:
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -121,14 +121,36 @@
             self.assertEqual(feed_all([length + header[2:] + body]), ([], True))
 
 
+class TruncatedReleases(unittest.TestCase):
+    def test_a_release_that_ends_within_the_next_message_is_malformed(self) -> None:
+        # Its cause was the first byte of the next message.
+        for release in (p.Release(CALL, 34), p.Release(CALL, 16, report={"spare": 3}), p.Release(CALL, 47, "overload")):
+            whole = p.encode(release)
+            for following in NEXT_MESSAGES:
+                for missing in range(1, len(whole) - p.MESSAGE_HEADER.size - p.PARAMETER_HEADER.size + 1):
+                    data = whole[:-missing] + p.encode(following)
+                    received, malformed = feed_all([data])
+                    self.assertEqual(received, [], (release, following, missing))
+                    self.assertEqual(malformed, len(data) >= len(whole), (release, following, missing))
+
+    def test_whole_releases_are_decoded_at_once(self) -> None:
+        for cause in p.ReleaseCause:
+            release = p.Release(CALL, cause)
+            for following in NEXT_MESSAGES:
+                for chunks in splits(p.encode(release) + p.encode(following)):
+                    self.assertEqual([r.message for r in feed_all(chunks)[0]], [release, following])
+
+
 class TruncatedSetUps(unittest.TestCase):
     def test_a_set_up_that_ends_within_the_next_message_is_malformed(self) -> None:
         # Otherwise an exchange gets a set-up that no caller sent in this form.
         whole = p.encode(set_up(5))
         for following in (set_up(6), p.Release(5, p.ReleaseCause.NORMAL), p.HealthCheck(7)):
             for missing in range(1, len(set_up(5).description) + 1):
-                with self.assertRaises(p.ProtocolError):
-                    list(b.CallerDecoder().feed(whole[:-missing] + p.encode(following)))
+                data = whole[:-missing] + p.encode(following)
+                for arrived in (len(data), len(whole) - missing + b.FIRST_VALUE_OFFSET):
+                    with self.assertRaises(p.ProtocolError):
+                        list(b.CallerDecoder().feed(data[:arrived]))
 
     def test_whole_set_ups_in_a_row_are_decoded_at_once(self) -> None:
         data = p.encode(set_up(5)) + p.encode(set_up(6))
