--- a/latchturn/checking/environment.py
+++ b/latchturn/checking/environment.py
@@ -9,7 +9,7 @@
 
 import random
 from collections import deque
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from .. import interface as i
 from .. import operations as o
@@ -17,18 +17,17 @@
 from .. import session as s
 from ..boundaries import ExchangeDecoder
 from ..session.timers import Timer, TimerKind
+from .choices import COMMON_KINDS, Choice, offered_choices
 from .history import History, Observation
 from .leftovers import leftovers, stale_timers
 from .properties import NOTHING_LEFT, PROPERTIES
 from .scopes import SETTINGS, VARIANTS, WAIT_MS, Scope
+from .simulated_peers import Peer, ReceivedSetUp, SimulatedExchange
 
 START_US = 1 << 51  # the clock at the start of each path
 TIME_THRESHOLD_US = START_US >> 1  # integers above it are times; all other integers in a state are below it
-Choice = tuple[str | int, ...]
 CHANNEL_ADDRESS = ("127.0.0.1", 9)
 CLASS_NAME = p.settings_text(SETTINGS.classes[0].name)
-# The reducer remembers the ids of ended calls for 10 s; after this time no choice reuses an id.
-ID_REUSE_LIMIT_US = 9_000_000
 # Steps of 1.5 s in `run_to_end`. A release that waits for a link may be written in the first ones and is kept for 8 s.
 FINAL_STEPS = 16
 DESCRIPTION = b"v=0\x00\xff"
@@ -53,13 +52,8 @@
     "rejoin",
     "unsucceed",
 )
-# Kinds that ordinary calls consist of. Every other kind is rare, and a scope limits the rare choices on a path.
-COMMON_KINDS = {"set_up", "tick", "answer", "refuse", "end", "cut", "accept", "through"}
-# Late or stray replies of exchanges. After all calls have ended, their effect does not depend on the time.
 # Kinds of timers that have no subject once they are cancelled.
 CANCELLED_TIMER_KINDS = (TimerKind.DEADLINE, TimerKind.CHANNEL, TimerKind.ANSWER_HOLD)
-MISSING_BYTES = (1, 2, 8)  # at the end of a truncated answer; 8 are its whole description
-LATE_KINDS = {"late", "twice", "astray"}
 
 
 class MedianRandom(random.Random):
@@ -72,40 +66,6 @@
         return (MedianRandom, ())
 
 
-@dataclass(slots=True)
-class SimulatedExchange:
-    """The actual state of one exchange, which may differ from its entry in the list."""
-
-    ident: int
-    number: int
-    port: int
-    alive: bool = True
-    died_us: int = 0
-    answers_made: int = 0  # makes the description of each answer unique
-
-
-@dataclass(slots=True)
-class ReceivedSetUp:
-    """A set-up that has arrived at an exchange, and what limits further replies to it."""
-
-    call_id: int
-    given_up: bool = False
-    last_reply: str = ""  # "answer" or the name of a refusal; empty before the first reply
-
-
-@dataclass(slots=True)
-class Peer:
-    """The remote end of one connection: a caller or an exchange."""
-
-    exchange_id: int = 0  # 0 for a caller
-    set_ups: dict[int, ReceivedSetUp] = field(default_factory=dict)  # by call id
-    stalled: bool = False  # writes to this peer do not complete
-    pending_write: tuple[p.Message, ...] | None = None  # written while stalled; the completion is not reported yet
-    pending_arrived: bool = False  # the pending write has arrived although its completion is not reported
-    partial: bool = False  # it has sent part of a message
-    half_closed: bool = False  # it sends no more messages
-
-
 def make_group_state(free_circuits: int) -> p.GroupState:
     """Make the report of an exchange on the free circuits of its trunk group."""
     return p.GroupState(0, {"spare": free_circuits, "total": 40, "allowed": 100.0})
@@ -259,7 +219,7 @@
 
     # --- the clock ---
 
-    def _next_due(self) -> tuple[int, bool] | None:
+    def next_due(self) -> tuple[int, bool] | None:
         """The next time at which something is due, and whether a timer of the reducer is."""
         reducer_due_us = min((at for at, _, t in self.session.timers.heap if self.timer_is_live(t)), default=None)
         other_times_us = [due for _, due in self.connecting.values()]
@@ -298,7 +258,7 @@
 
     def _do_tick(self) -> None:
         """Advance the clock to the next due time and run the timer that is due."""
-        due = self._next_due()
+        due = self.next_due()
         assert due is not None
         if due[0] > self.now_us:
             self._use_idle_step()
@@ -308,7 +268,7 @@
 
     def _do_due(self) -> None:
         """Advance the clock to the next due time; other choices may be made before the timer runs."""
-        due = self._next_due()
+        due = self.next_due()
         assert due is not None
         self._use_idle_step()
         self._advance_to(due[0])
@@ -316,7 +276,7 @@
 
     def _do_between(self) -> None:
         """Advance the clock halfway to the next due time."""
-        due = self._next_due()
+        due = self.next_due()
         assert due is not None
         self._use_idle_step()
         self._advance_to((self.now_us + due[0]) // 2)
@@ -326,156 +286,9 @@
         if not any(call.awaits_answer for call in self.history.calls.values()):
             self.remaining_idle_steps -= 1
 
-    # --- possible choices ---
-
     def choices(self) -> list[Choice]:
         """Every choice that can be made now, in a fixed order; empty if nothing more can happen in this scope."""
-        if self.history.exited:
-            return []
-        offered: list[Choice] = []
-        allowed = {k for k, n in self.remaining_budgets.items() if n > 0}
-        if self.only_late_messages_remain:
-            allowed &= LATE_KINDS
-        if self.remaining_rare_choices <= 0:
-            allowed &= COMMON_KINDS
-        callers = [k for k, peer in self.peers.items() if not peer.exchange_id]
-        links = {k: peer for k, peer in self.peers.items() if peer.exchange_id}
-        self._caller_choices(offered, allowed, callers)
-        for link, peer in links.items():
-            self._link_choices(offered, allowed, link, peer, links)
-        for call_id, exchange_id in self.standing_calls.items():
-            if any(peer.exchange_id == exchange_id for peer in links.values()):
-                offered += [(kind, call_id) for kind in ("end", "cut") if kind in allowed]
-        self._other_choices(offered, allowed)
-        due = None if self.only_late_messages_remain else self._next_due()
-        if due is not None and (
-            self.remaining_idle_steps > 0 or any(c.awaits_answer for c in self.history.calls.values())
-        ):
-            offered.append(("tick",))
-            if due[0] > self.now_us and due[1] and self.remaining_rare_choices > 1 and not self.timer_pending:
-                offered.append(("due",))
-            if "between" in allowed and due[0] - self.now_us > 1000:
-                offered.append(("between",))
-        return offered
-
-    def _caller_choices(self, offered: list[Choice], allowed: set[str], callers: list[int]) -> None:
-        """Add the choices that callers have."""
-        open_callers = [k for k in callers if not self.peers[k].half_closed]
-        if self.calls_made < self.scope.calls:
-            offered += [("set_up", k) for k in open_callers]
-        for call_id, call in self.history.calls.items():
-            if call.awaits_answer and call.stream in open_callers and "give_up" in allowed:
-                offered.append(("give_up", call_id))
-            if call.was_answered and not (call.end_sent or call.ended_by_caller_us) and "release" in allowed:
-                offered += [("release", call_id, k) for k in open_callers]
-            if call.final_answers_sent and not call.was_answered and "redial" in allowed:
-                offered += [("redial", call_id, k) for k in open_callers]
-            if call.abandoned or (
-                call.ended_for_caller_us and self.now_us - call.ended_for_caller_us > ID_REUSE_LIMIT_US
-            ):
-                continue
-            if "same_id" in allowed and call.stream in open_callers:
-                offered.append(("same_id", call_id, call.stream))
-            if "other_id" in allowed:
-                offered += [("other_id", call_id, k) for k in open_callers if k != call.stream]
-        for k in callers:
-            peer = self.peers[k]
-            if "hang_up" in allowed:
-                offered.append(("hang_up", k))
-            offered += self._write_choices(allowed, k, peer, "stall_caller")
-            if "half" in allowed and k in open_callers and not peer.partial:
-                offered.append(("half", k))
-            if "whole" in allowed and peer.partial:
-                offered.append(("whole", k))
-            if "garble" in allowed and k in open_callers:
-                offered.append(("garble", k))
-            if "half_close" in allowed and k in open_callers:
-                offered.append(("half_close", k))
-        if "connect" in allowed and len(callers) < self.scope.callers and self.accepting_callers:
-            offered.append(("connect",))
-
-    def _link_choices(
-        self, offered: list[Choice], allowed: set[str], link: int, peer: Peer, links: dict[int, Peer]
-    ) -> None:
-        """Add the choices that an exchange has on one of its links."""
-        exchange = self.simulated_exchanges.get(peer.exchange_id)
-        for call_id, received in peer.set_ups.items():
-            if not received.last_reply and not received.given_up:
-                if "answer" in allowed:
-                    offered.append(("answer", link, call_id))
-                if "refuse" in allowed:
-                    offered += [("refuse", link, call_id, cause) for cause in self.scope.refusals]
-                if "astray" in allowed:
-                    offered += [
-                        ("astray", k, call_id, link)
-                        for k in links
-                        if k != link and links[k].exchange_id == peer.exchange_id
-                    ]
-                if "truncate" in allowed:
-                    offered += [("truncate", link, call_id, missing) for missing in MISSING_BYTES]
-            elif not received.last_reply and "late" in allowed:
-                offered += [("late", link, call_id, reply) for reply in ("answer", "reset")]
-            elif received.last_reply and "twice" in allowed:
-                offered.append(("twice", link, call_id))
-        if "reset" in allowed and (peer.set_ups or peer.pending_write):
-            offered.append(("reset", link))
-        offered += self._write_choices(allowed, link, peer)
-        if "group" in allowed and exchange is not None:
-            offered += [("group", link, free_circuits) for free_circuits in (0, 40)]
-
-    @staticmethod
-    def _write_choices(allowed: set[str], stream: int, peer: Peer, stall: str = "stall") -> list[Choice]:
-        """The choices about writes to one peer."""
-        offered: list[Choice] = []
-        if stall in allowed and not peer.stalled:
-            offered.append((stall, stream))
-        if peer.stalled and "through" in allowed:
-            offered.append(("through", stream))
-        if peer.pending_write is not None and not peer.pending_arrived and "arrive" in allowed:
-            offered.append(("arrive", stream))
-        return offered
-
-    def _other_choices(self, offered: list[Choice], allowed: set[str]) -> None:
-        """Add the choices about exchanges, links being opened, the list, operators and other processes."""
-        for exchange_id, exchange in self.simulated_exchanges.items():
-            list_entry = self.history.exchanges.get(exchange_id)
-            still_listed = list_entry is not None and not list_entry.gone
-            kinds = ("ready",) if exchange_id in self.draining_exchanges else ("drain",)
-            offered += [
-                (kind, exchange_id) for kind in (*kinds, "gone", "replaced") if still_listed and kind in allowed
-            ]
-            if "die" in allowed and exchange.alive:
-                offered.append(("die", exchange_id))
-            if "return" in allowed and not exchange.alive and self.now_us > exchange.died_us:
-                offered.append(("return", exchange_id))
-        if self.connects_by_choice:
-            for link, (connecting_to, _) in self.connecting.items():
-                alive = connecting_to in self.simulated_exchanges and self.simulated_exchanges[connecting_to].alive
-                if alive:
-                    offered.append(("accept", link))
-                if not alive or "refuse_link" in allowed:
-                    offered.append(("refuse_link", link))
-        if "list_twice" in allowed and self.last_update is not None:
-            offered.append(("list_twice",))
-        if "channel_lost" in allowed:
-            offered.append(("channel_lost",))
-        terminating = bool(self.history.sigterm_us)
-        if "lameduck" in allowed and not self.history.draining:
-            offered.append(("lameduck",))
-        if "rejoin" in allowed and self.history.draining:
-            offered.append(("rejoin",))
-        if "sighup" in allowed:
-            offered += [("sighup", name) for name in VARIANTS]
-        if "sigterm" in allowed and not terminating:
-            offered.append(("sigterm",))
-        if "succeed" in allowed and not self.history.successor_serves:
-            offered.append(("succeed",))
-        if "unsucceed" in allowed and self.history.successor_serves:
-            offered.append(("unsucceed",))
-        if "inherit" in allowed:
-            offered += [("inherit", exchange_id) for exchange_id in self.simulated_exchanges]
-        if "passed_on" in allowed:
-            offered += [("passed_on", call_id) for call_id in self.inherited_calls]
+        return offered_choices(self)
 
     # --- callers ---
 
@@ -831,7 +644,7 @@
                     self._exchange_record(self.simulated_exchanges[exchange_id], started=returned_us)
                 )
         for _ in range(60):
-            if self.history.exited or (due := self._next_due()) is None:
+            if self.history.exited or (due := self.next_due()) is None:
                 break
             for link in list(self.connecting):
                 if self.connecting.get(link, (0, 0))[0] in self.simulated_exchanges:
--- a/latchturn/checking/explorer.py
+++ b/latchturn/checking/explorer.py
@@ -17,7 +17,8 @@
 from itertools import islice
 from multiprocessing.connection import Connection, wait
 
-from .environment import Choice, Environment, PropertyViolation
+from .choices import Choice
+from .environment import Environment, PropertyViolation
 from .pairs import Pairs, record
 from .plants import plant
 from .scopes import SCOPES
--- a/latchturn/checking/traces.py
+++ b/latchturn/checking/traces.py
@@ -13,7 +13,8 @@
 
 from .. import protocol as p
 from .. import session as s
-from .environment import START_US, Choice, Environment, PropertyViolation
+from .choices import Choice
+from .environment import START_US, Environment, PropertyViolation
 from .scopes import SCOPES
 
 VERSION = 1  # of the trace file format
--- a/latchturn/checking/walks.py
+++ b/latchturn/checking/walks.py
@@ -7,7 +7,8 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from .environment import Choice, Environment, PropertyViolation
+from .choices import Choice
+from .environment import Environment, PropertyViolation
 from .pairs import Pairs, record
 from .scopes import SCOPES
 
