--- a/latchturn/boundaries.py
+++ b/latchturn/boundaries.py
@@ -36,7 +36,8 @@
 USUAL_MESSAGE_BYTES = 1024  # a longer message is expected only from a peer that has sent one before
 MAX_SEARCHED_BYTES = 4096  # at the end of a message; bounds the processor time that a long one takes
 PARAMETER_CODES = frozenset(ParameterCode)
-FIRST_VALUE_OFFSET = MESSAGE_HEADER.size + PARAMETER_HEADER.size  # of the value of a message's first parameter
+FIRST_LENGTH_OFFSET = MESSAGE_HEADER.size + 1  # of the length of a message's first parameter, behind its code
+FIRST_VALUE_OFFSET = MESSAGE_HEADER.size + PARAMETER_HEADER.size
 TYPES_FROM_EXCHANGES = frozenset(
     (
         MessageType.PROGRESS,
@@ -132,12 +133,14 @@
         """The best evidence for a message that begins within `raw` and fills its end."""
         data = raw + following
         best = _Start.INVALID
-        begin = max(FIRST_VALUE_OFFSET, len(raw) - min(longest_bytes, MAX_SEARCHED_BYTES))
+        begin = max(FIRST_LENGTH_OFFSET, len(raw) - min(longest_bytes, MAX_SEARCHED_BYTES))
         end = len(raw) + FIRST_VALUE_OFFSET  # the last beginning within `raw` is recognized by bytes up to here
         for match in self._beginning.finditer(data, begin, end):
             if match.start() >= len(raw):
                 break
             start, length = self._messages_to(data, match.start(), len(raw))
+            if match.start() < FIRST_VALUE_OFFSET and length == MIN_MESSAGE_BYTES:
+                continue  # only the length of a short value
             if start is _Start.COMPLETE:
                 return start
             if length <= longest_bytes and best is not _Start.BEGUN and start is not _Start.INVALID:
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -57,7 +57,7 @@
         for description in DESCRIPTIONS:
             whole = p.encode(p.Answer(CALL, description))
             for following in NEXT_MESSAGES:
-                for missing in range(1, len(description) + 1):
+                for missing in range(1, len(description) + p.PARAMETER_HEADER.size):
                     data = whole[:-missing] + p.encode(following)
                     if data.startswith(whole):
                         continue  # the missing bytes and the head of the next message are the same
@@ -79,6 +79,20 @@
             self.assertEqual((received, malformed), ([], True), missing)
         self.assertEqual(feed_all([whole + following])[0][0].message.call, CALL)
 
+    def test_an_answer_that_ends_before_the_length_of_its_description_does_not_count_as_whole(self) -> None:
+        # The length of the next message was taken for that of the description, and everything was in step again.
+        following = p.encode(p.Release(0x0006B0CC90000001, p.ReleaseCause.NORMAL))
+        description_bytes = len(following) - p.MESSAGE_LENGTH_BYTES
+        whole = p.encode(p.Answer(CALL, bytes(description_bytes)))
+        cut = whole[: p.MESSAGE_HEADER.size + 1]
+        self.assertEqual(feed_all([cut + following + p.encode(group_state(7))]), ([], True))
+
+    def test_an_answer_with_a_short_binary_description_counts_as_whole(self) -> None:
+        for kind in range(256):
+            answer = p.Answer(CALL, bytes([kind, *range(1, p.MIN_MESSAGE_BYTES)]))
+            received, malformed = feed_all([p.encode(answer) + p.encode(group_state(7))])
+            self.assertEqual(([r.message for r in received], malformed), ([answer, group_state(7)], False))
+
     def test_an_answer_whose_lengths_are_too_small_does_not_count_as_whole(self) -> None:
         description = b"v=0 7001 7f3a9c21e0b4d655\xff"
         header = p.encode(p.Answer(CALL, description))[2 : p.MESSAGE_HEADER.size]
