--- a/rig/exchange.py
+++ b/rig/exchange.py
@@ -23,7 +23,7 @@
 from .clock import now_us
 from .sockets import close_with_reset, send_all
 
-MAX_MISSING_BYTES = 20  # at the end of a truncated answer; nearly its whole description
+MAX_MISSING_BYTES = 60  # at the end of a truncated answer; at least its first byte is sent
 MAX_GROUP_STATE_RECIPIENTS = 4  # open connections that receive each change of the group state
 RECEIVE_BYTES = 64 * 1024
 PIECE_PAUSE_S = (0.001, 0.008)  # pause between two pieces; a connection still carries a hundred messages per second
@@ -267,7 +267,7 @@
             data = data[:2] + bytes(byte ^ 0x5A for byte in data[2:])
         # Without the option nothing is drawn, so that the trials of earlier seeds stay the same.
         if self.options.truncate_answer and self.happens(self.options.truncate_answer):
-            data = data[: -self.random.randint(1, MAX_MISSING_BYTES)]
+            data = data[: -self.random.randint(1, min(MAX_MISSING_BYTES, len(data) - 1))]
             self.send(call.connection, data + p.encode(self.group_state()))
             return
         self.send(call.connection, data)
