--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import time
 import unittest
 
 from latchturn import boundaries as b
@@ -10,9 +11,10 @@
 from latchturn import session as s
 from latchturn.session import limits
 
-from .helpers import SECOND, Program, SessionHarness, group_state, set_up
+from .helpers import SECOND, Peer, Program, SessionHarness, group_state, set_up
 
 CALL = 0x7F3A9C21E0B4D655
+PIECE_PAUSE_S = 0.02  # a message may stay incomplete for 0.25 s
 NEXT_MESSAGES = (
     group_state(7),
     p.Release(0x0006B0CC90000001, p.ReleaseCause.NORMAL, report={"spare": 3, "total": 40}),
@@ -243,19 +245,52 @@
 
 
 class OnSockets(unittest.TestCase):
+    def assert_not_served(self, program: Program, caller: Peer, call: int, pieces: tuple[bytes, ...]) -> None:
+        """Let the exchange reply to a set-up with these bytes; its link must be closed and the call must fail."""
+        caller.send(set_up(call, wait_ms=300))
+        link = program.links[1]
+        while not isinstance(message := link.next(), p.SetUp):  # a release of the call before
+            self.assertIsInstance(message, p.Release)
+        self.assertEqual(message.call, call)
+        for piece in pieces:
+            link.sock.sendall(piece)
+            time.sleep(PIECE_PAUSE_S)
+        while link.next() is not None:
+            pass
+        program.links[1] = program.accept(1)
+        program.links[1].send(group_state(20, allowed=40))
+        self.assertIsInstance(caller.next(), p.Release, pieces)
+
     def test_an_answer_that_ends_within_the_next_message_is_not_passed_on(self) -> None:
         # The caller got the description with the first bytes of the next message at its end.
         description = b"v=0 an answer"
         with Program() as program:
             caller = program.caller()
             for call, missing in enumerate((1, 2, 5, 9, 10, 11, len(description)), 1):
-                caller.send(set_up(call, wait_ms=300))
-                link = program.links[1]
-                self.assertEqual(link.next().call, call)
-                data = p.encode(p.Answer(call, description))[:-missing]
-                link.sock.sendall(data + p.encode(p.Release(0x0006B0CC90000001, p.ReleaseCause.NORMAL)))
-                while link.next() is not None:  # the program closes the link
-                    pass
-                program.links[1] = program.accept(1)
-                program.links[1].send(group_state(20, allowed=40))
-                self.assertIsInstance(caller.next(), p.Release, f"{missing} bytes are missing")
+                cut = p.encode(p.Answer(call, description))[:-missing]
+                following = p.encode(NEXT_MESSAGES[call % len(NEXT_MESSAGES)])
+                self.assert_not_served(program, caller, call, (cut + following,))
+
+    def test_a_next_message_that_comes_later_or_in_pieces_does_not_complete_an_answer(self) -> None:
+        # The first piece fills the gap exactly, so that the answer looks whole until the second one comes.
+        with Program() as program:
+            caller = program.caller()
+            following = p.encode(p.Release(0x0006B0CC90000001, p.ReleaseCause.NORMAL))
+            for call, (missing, first) in enumerate(((1, 0), (3, 1), (3, 3), (10, 10), (5, 12)), 1):
+                cut = p.encode(p.Answer(call, b"v=0 an answer"))[:-missing]
+                self.assert_not_served(program, caller, call, (cut, following[:first], following[first:]))
+
+    def test_an_answer_without_a_description_is_not_passed_on(self) -> None:
+        # The caller got an empty description.
+        with Program() as program:
+            data = p.encode(p.Answer(1, b"v=0")).replace(b"\xae\x00\x03", b"\x5a\x00\x03")
+            self.assert_not_served(program, program.caller(), 1, (data,))
+
+    def test_a_set_up_that_ends_within_the_next_message_reaches_no_exchange(self) -> None:
+        # The exchange got a description that its caller had not sent.
+        with Program() as program:
+            caller = program.caller()
+            caller.sock.sendall(p.encode(set_up(5))[:-2] + p.encode(set_up(6)))
+            self.assertIsNone(caller.next())
+            program.caller().send(set_up(7))
+            self.assertEqual(program.links[1].next().call, 7)
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -72,6 +72,14 @@
         return self.harness.session.exchanges.by_id[100 + exchange].state
 
 
+def becoming_slow(delay_us: int) -> SlowDiscovery:
+    """A discovery that has been prompt for 3 s and is slow from now on."""
+    discovery = SlowDiscovery(SessionHarness())
+    discovery.run(3 * SECOND)
+    discovery.delay_us = delay_us
+    return discovery
+
+
 class SlowChannel(unittest.TestCase):
     """Whatever discovery sends arrives late."""
 
@@ -80,16 +88,14 @@
         for delay_us in (SECOND, 2 * SECOND, 3 * SECOND, 4 * SECOND, 6 * SECOND, 8 * SECOND, 8_900_000, 20 * SECOND):
             for published_after_us in (0, SECOND // 2, 2 * SECOND, 10 * SECOND, 60 * SECOND):
                 with self.subTest(delay_us=delay_us, published_after_us=published_after_us):
-                    discovery = SlowDiscovery(SessionHarness())
-                    discovery.run(3 * SECOND)
-                    discovery.delay_us = delay_us
+                    discovery = becoming_slow(delay_us)
                     discovery.run(published_after_us)
                     discovery.publish(draining(2))
                     discovery.run(delay_us + SECOND // 10)
                     self.assertIs(discovery.state_of(1), i.ListState.DRAINING)
 
     def test_a_change_is_received_in_time_if_discovery_is_slow_from_the_first_connection_on(self) -> None:
-        for delay_us in (SECOND, 4 * SECOND, 6 * SECOND, 8 * SECOND):
+        for delay_us in (SECOND // 2, SECOND, 2 * SECOND, 3 * SECOND, 4 * SECOND, 6 * SECOND, 8 * SECOND):
             discovery = SlowDiscovery(SessionHarness(), delay_us)
             discovery.publish(draining(2))
             discovery.run(TOLD_AFTER_US + GRACE_US)
@@ -97,9 +103,7 @@
 
     def test_a_change_is_received_if_a_connection_stops_while_discovery_is_slow(self) -> None:
         for delay_us in (SECOND // 10, SECOND, 4 * SECOND):
-            discovery = SlowDiscovery(SessionHarness())
-            discovery.run(3 * SECOND)
-            discovery.delay_us = delay_us
+            discovery = becoming_slow(delay_us)
             discovery.stopped.add(1)
             discovery.publish(draining(2))
             discovery.run(limits.CHANNEL_SILENCE_US + limits.SWEEP_INTERVAL_US + delay_us + SECOND // 5)
@@ -108,9 +112,7 @@
     def test_a_change_is_received_if_a_connection_stops_with_frames_on_their_way(self) -> None:
         # The last frames of the first connection arrive after the second one has been opened.
         for delay_us in (SECOND // 2, SECOND, 2 * SECOND):
-            discovery = SlowDiscovery(SessionHarness())
-            discovery.run(3 * SECOND)
-            discovery.delay_us = delay_us
+            discovery = becoming_slow(delay_us)
             discovery.run(SECOND // 2)
             discovery.run(SECOND)
             discovery.stopped.add(1)
@@ -129,17 +131,13 @@
 
     def test_a_slow_discovery_is_asked_a_few_times_only_and_one_connection_is_left(self) -> None:
         for delay_us in (2 * SECOND, 4 * SECOND, 8 * SECOND):
-            discovery = SlowDiscovery(SessionHarness())
-            discovery.run(3 * SECOND)
-            discovery.delay_us = delay_us
+            discovery = becoming_slow(delay_us)
             discovery.run(60 * SECOND)
             self.assertLessEqual(len(discovery.harness.channel_connects), 1 + delay_us // limits.CHANNEL_SILENCE_US)
             self.assertEqual(len(discovery.open_connections()), 1)
 
     def test_events_on_their_way_are_received_after_a_new_address_is_set(self) -> None:
-        discovery = SlowDiscovery(SessionHarness())
-        discovery.run(3 * SECOND)
-        discovery.delay_us = 4 * SECOND
+        discovery = becoming_slow(4 * SECOND)
         discovery.publish(draining(2))
         discovery.run(3 * SECOND)
         harness = discovery.harness
