--- a/latchturn/boundaries.py
+++ b/latchturn/boundaries.py
@@ -13,7 +13,6 @@
 
 import re
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
 from enum import Enum, auto
 
 from .protocol import (
@@ -23,6 +22,7 @@
     MIN_MESSAGE_BYTES,
     PARAMETER_HEADER,
     Answer,
+    Decoder,
     Message,
     MessageType,
     ParameterCode,
@@ -30,12 +30,12 @@
     Release,
     SetUp,
     decode_message,
-    message_splitter,
 )
 
 USUAL_MESSAGE_BYTES = 1024  # a longer message is expected only from a peer that has sent one before
 MAX_SEARCHED_BYTES = 4096  # at the end of a message; bounds the processor time that a long one takes
 PARAMETER_CODES = frozenset(ParameterCode)
+EMPTY_MESSAGE_LENGTH = MIN_MESSAGE_BYTES.to_bytes(MESSAGE_LENGTH_BYTES, "big")  # of a message without parameters
 FIRST_LENGTH_OFFSET = MESSAGE_HEADER.size + 1  # of the length of a message's first parameter, behind its code
 FIRST_VALUE_OFFSET = MESSAGE_HEADER.size + PARAMETER_HEADER.size
 TYPES_FROM_EXCHANGES = frozenset(
@@ -73,31 +73,42 @@
     INVALID = auto()
 
 
-@dataclass(slots=True, frozen=True)
-class ReceivedMessage:
-    """A decoded message, and whether all its bytes are certainly its own."""
-
-    message: Message
-    end_certain: bool
-
-
 def _byte_class(values: Iterable[int]) -> bytes:
     """A regular expression for one byte out of several."""
     return b"[" + b"".join(re.escape(bytes([value])) for value in sorted(values)) + b"]"
 
 
-def _beginning_pattern(types: Iterable[int]) -> re.Pattern[bytes]:
-    """A regular expression for positions at which a message of one of the types may begin, as far as the data goes.
+class _Beginnings:
+    """Finds the positions at which a message of one of the types may begin, as far as the data goes.
 
     It only selects the positions that are worth decoding: a length, a type, a call, and the code of a parameter unless
-    the message has none. The lookahead lets matches overlap.
+    the message has none. Nearly every message is searched in vain, so each search begins with what is rare.
     """
-    first_length_byte = _byte_class(range((MAX_MESSAGE_BYTES >> 8) + 1))
-    empty_message = re.escape(MIN_MESSAGE_BYTES.to_bytes(MESSAGE_LENGTH_BYTES, "big"))
-    type_, code = _byte_class(types), _byte_class(ParameterCode)
-    whole_header = first_length_byte + b"." + type_ + b".{8}" + code
-    cut_off = first_length_byte + b"(?:.?\\Z|." + type_ + b".{0,8}\\Z)"
-    return re.compile(b"(?=" + empty_message + type_ + b"|" + whole_header + b"|" + cut_off + b")", re.DOTALL)
+
+    def __init__(self, types: Iterable[int]) -> None:
+        first_length_byte = _byte_class(range((MAX_MESSAGE_BYTES >> 8) + 1))
+        type_, code = _byte_class(types), _byte_class(ParameterCode)
+        self._code_after_header = re.compile(
+            code + b"(?<=" + first_length_byte + b"." + type_ + b".{8}" + code + b")", re.DOTALL
+        )
+        self._empty_message = re.compile(re.escape(EMPTY_MESSAGE_LENGTH) + type_)
+        self._cut_off = re.compile(first_length_byte + b"(?=.?\\Z|." + type_ + b".{0,8}\\Z)", re.DOTALL)
+
+    def whole_headers(self, data: bytes, begin: int, end: int) -> list[int]:
+        """The positions from `begin` up to but excluding `end` at which all of a header may stand."""
+        found = self._code_after_header.finditer(data, begin + MESSAGE_HEADER.size, end + MESSAGE_HEADER.size)
+        positions = [match.start() - MESSAGE_HEADER.size for match in found]
+        if data.find(EMPTY_MESSAGE_LENGTH, begin) >= 0:
+            positions += [m.start() for m in self._empty_message.finditer(data, begin, end + MESSAGE_LENGTH_BYTES)]
+        return positions
+
+    def cut_off_headers(self, data: bytes, begin: int, end: int, longest_bytes: int) -> list[int]:
+        """The positions from `begin` up to but excluding `end` at which the data ends within the header of a message
+        that may be no longer than `longest_bytes`."""
+        begin = max(begin, len(data) - MESSAGE_HEADER.size)
+        if begin >= end or min(data[begin:end]) > longest_bytes >> 8:  # the first byte of a length is small
+            return []
+        return [match.start() for match in self._cut_off.finditer(data, begin) if match.start() < end]
 
 
 class BoundaryCheck:
@@ -105,7 +116,7 @@
 
     def __init__(self, types: frozenset[MessageType]) -> None:
         self._types = types
-        self._beginning = _beginning_pattern(types)
+        self._beginnings = _Beginnings(types)
 
     def judge(self, raw: bytes, following: bytes, longest_bytes: int) -> Boundary:
         """Judge the end of an encoded message by the bytes that follow it.
@@ -127,19 +138,26 @@
     def contains_next(self, raw: bytes, following: bytes) -> bool:
         """Whether a message begins in the last `USUAL_MESSAGE_BYTES` of an encoded one and reaches its end: a valid
         one, or so much of one that its first parameter fits into it."""
-        return self._next_message_within(raw, following, USUAL_MESSAGE_BYTES) in (_Start.COMPLETE, _Start.BEGUN)
+        begin = max(FIRST_LENGTH_OFFSET, len(raw) - USUAL_MESSAGE_BYTES)
+        data = raw + following
+        positions = self._beginnings.whole_headers(data, begin, len(raw))
+        best = self._best(data, positions, len(raw), USUAL_MESSAGE_BYTES)
+        return best is _Start.COMPLETE or best is _Start.BEGUN
 
     def _next_message_within(self, raw: bytes, following: bytes, longest_bytes: int) -> _Start:
         """The best evidence for a message that begins within `raw` and fills its end."""
+        begin = max(FIRST_LENGTH_OFFSET, len(raw) - min(longest_bytes, MAX_SEARCHED_BYTES))
         data = raw + following
+        positions = self._beginnings.whole_headers(data, begin, len(raw))
+        positions += self._beginnings.cut_off_headers(data, begin, len(raw), longest_bytes)
+        return self._best(data, positions, len(raw), longest_bytes)
+
+    def _best(self, data: bytes, positions: list[int], end: int, longest_bytes: int) -> _Start:
+        """The best evidence among the positions for a message that reaches `end`."""
         best = _Start.INVALID
-        begin = max(FIRST_LENGTH_OFFSET, len(raw) - min(longest_bytes, MAX_SEARCHED_BYTES))
-        end = len(raw) + FIRST_VALUE_OFFSET  # the last beginning within `raw` is recognized by bytes up to here
-        for match in self._beginning.finditer(data, begin, end):
-            if match.start() >= len(raw):
-                break
-            start, length = self._messages_to(data, match.start(), len(raw))
-            if match.start() < FIRST_VALUE_OFFSET and length == MIN_MESSAGE_BYTES:
+        for at in positions:
+            start, length = self._messages_to(data, at, end)
+            if at < FIRST_VALUE_OFFSET and length == MIN_MESSAGE_BYTES:
                 continue  # only the length of a short value
             if start is _Start.COMPLETE:
                 return start
@@ -187,75 +205,74 @@
 CALLER_CHECK = BoundaryCheck(TYPES_FROM_CALLERS)
 
 
-class ExchangeDecoder:
+class ExchangeDecoder(Decoder[Message]):
     """Decodes the stream of an exchange, and finds answers and releases that end within the message after them.
 
     Only answers can be uncertain: of all messages of an exchange they alone carry content that is passed on unchanged.
     """
 
     def __init__(self) -> None:
-        self._splitter = message_splitter()
+        super().__init__(MESSAGE_LENGTH_BYTES, MIN_MESSAGE_BYTES, MAX_MESSAGE_BYTES, decode_message)
         self._answer = b""  # the last message, if it is an answer whose end is uncertain
         self._longest_bytes = USUAL_MESSAGE_BYTES
 
     @property
-    def has_partial_message(self) -> bool:
-        """Whether the input so far ends within a message."""
-        return self._splitter.has_partial_message
+    def end_certain(self) -> bool:
+        """Whether all bytes of the message yielded last are certainly its own."""
+        return not self._answer
 
-    def feed(self, data: bytes) -> Iterator[ReceivedMessage]:
+    def messages(self, data: bytes) -> Iterator[Message]:
         """Yield the messages that `data` completes; ProtocolError at a malformed one, and as soon as an answer that
         was yielded with an uncertain end turns out to end within the next message. Until that is decided, nothing
         after the answer is yielded."""
-        self._splitter.push(data)
+        self.push(data)
         if self._answer:
             self._judge_answer()
         if self._answer:
             return
-        for raw in self._splitter.units():
+        while (raw := self.take()) is not None:
             message = decode_message(raw)
-            self._longest_bytes = max(self._longest_bytes, len(raw))
+            if len(raw) > self._longest_bytes:
+                self._longest_bytes = len(raw)
             if isinstance(message, Answer):
                 self._answer = raw
                 self._judge_answer()
-            elif isinstance(message, Release) and EXCHANGE_CHECK.contains_next(raw, self._splitter.unread):
+            elif isinstance(message, Release) and EXCHANGE_CHECK.contains_next(raw, self.unread):
                 raise ProtocolError("a release ends within the next message")
-            yield ReceivedMessage(message, not self._answer)
+            yield message
             if self._answer:
                 return
 
     def _judge_answer(self) -> None:
         """Forget the last answer if its end has become certain; ProtocolError if it is not its own."""
-        boundary = EXCHANGE_CHECK.judge(self._answer, self._splitter.unread, self._longest_bytes)
+        boundary = EXCHANGE_CHECK.judge(self._answer, self.unread, self._longest_bytes)
         if boundary is Boundary.OVERRUN:
             raise ProtocolError("an answer ends within the next message, or what follows it cannot be read")
         if boundary is Boundary.CERTAIN:
             self._answer = b""
 
 
-class CallerDecoder:
+class CallerDecoder(Decoder[Message]):
     """Decodes the stream of a caller, and finds set-ups that end within the message after them.
 
     A set-up that nobody sent in this form must not reach an exchange. Callers may take long to send a message, so only
     what has arrived with the last byte of a set-up is considered, and no set-up waits for more.
     """
 
-    def __init__(self) -> None:
-        self._splitter = message_splitter()
+    end_certain = True
 
-    @property
-    def has_partial_message(self) -> bool:
-        """Whether the input so far ends within a message."""
-        return self._splitter.has_partial_message
+    def __init__(self) -> None:
+        super().__init__(MESSAGE_LENGTH_BYTES, MIN_MESSAGE_BYTES, MAX_MESSAGE_BYTES, decode_message)
 
-    def feed(self, data: bytes) -> Iterator[ReceivedMessage]:
+    def messages(self, data: bytes) -> Iterator[Message]:
         """Yield the messages that `data` completes; ProtocolError at a malformed one and at a set-up that ends within
         the next message."""
-        for raw in self._splitter.feed(data):
+        self.push(data)
+        while (raw := self.take()) is not None:
             message = decode_message(raw)
-            if isinstance(message, SetUp) and CALLER_CHECK.contains_next(raw, self._splitter.unread):
+            if isinstance(message, SetUp) and CALLER_CHECK.contains_next(raw, self.unread):
                 raise ProtocolError("a set-up ends within the next message")
-            yield ReceivedMessage(message, True)
+            yield message
 
 
 StreamDecoder = CallerDecoder | ExchangeDecoder
--- a/latchturn/checking/environment.py
+++ b/latchturn/checking/environment.py
@@ -401,9 +401,10 @@
         del self.peers[link].set_ups[call_id]
         self.standing_calls[call_id] = self.peers[link].exchange_id
         data = p.encode(self._make_answer(link, call_id))[:-missing] + p.encode(make_group_state(40))
+        decoder = ExchangeDecoder()
         try:
-            for received in ExchangeDecoder().feed(data):
-                self._submit(s.MessageReceived(link, received.message, end_certain=received.end_certain))
+            for message in decoder.messages(data):
+                self._submit(s.MessageReceived(link, message, end_certain=decoder.end_certain))
         except p.ProtocolError as error:
             self._submit(s.MalformedInput(link, str(error)))
 
--- a/latchturn/net.py
+++ b/latchturn/net.py
@@ -398,9 +398,9 @@
         try:
             partial = False
             while data := await _receive(sock):
-                for received in decoder.feed(data):
+                for message in decoder.messages(data):
                     unread_us = self.poll_monitor.max_unread_us()
-                    self.submit(session.MessageReceived(stream_id, received.message, unread_us, received.end_certain))
+                    self.submit(session.MessageReceived(stream_id, message, unread_us, decoder.end_certain))
                 if partial or decoder.has_partial_message:
                     partial = decoder.has_partial_message
                     self.submit(session.PartialMessage(stream_id, partial))
--- a/latchturn/protocol.py
+++ b/latchturn/protocol.py
@@ -256,24 +256,27 @@
     def feed(self, data: bytes) -> Iterator[T]:
         """Yield the units that `data` completes. Units before a malformed one are yielded before the error."""
         self.push(data)
-        yield from self.units()
+        while (raw := self.take()) is not None:
+            yield self._decode(raw)
 
     def push(self, data: bytes) -> None:
         """Append input without decoding it."""
         self._unread += data
 
-    def units(self) -> Iterator[T]:
-        """Yield the complete units of the input, like `feed`."""
-        while len(self._unread) >= self._length_bytes:
-            length = int.from_bytes(self._unread[: self._length_bytes], "big")
-            if not self._min_length <= length <= self._max_length:
-                raise ProtocolError(f"invalid message length {length}")
-            end = self._length_bytes + length
-            if len(self._unread) < end:
-                return
-            raw = bytes(self._unread[:end])
-            del self._unread[:end]
-            yield self._decode(raw)
+    def take(self) -> bytes | None:
+        """Remove the next complete unit from the input and return it encoded; None if there is none."""
+        unread = self._unread
+        if len(unread) < self._length_bytes:
+            return None
+        length = int.from_bytes(unread[: self._length_bytes], "big")
+        if not self._min_length <= length <= self._max_length:
+            raise ProtocolError(f"invalid message length {length}")
+        end = self._length_bytes + length
+        if len(unread) < end:
+            return None
+        raw = bytes(unread[:end])
+        del unread[:end]
+        return raw
 
 
 def message_decoder() -> Decoder[Message]:
@@ -281,11 +284,6 @@
     return Decoder(MESSAGE_LENGTH_BYTES, MIN_MESSAGE_BYTES, MAX_MESSAGE_BYTES, decode_message)
 
 
-def message_splitter() -> Decoder[bytes]:
-    """Return a decoder that splits a stream of messages and leaves each one encoded."""
-    return Decoder(MESSAGE_LENGTH_BYTES, MIN_MESSAGE_BYTES, MAX_MESSAGE_BYTES, bytes)
-
-
 def decode_message(raw: bytes) -> Message:
     """Decode one complete message with its length; raises ProtocolError."""
     _, kind, call = MESSAGE_HEADER.unpack_from(raw)
--- a/latchturn/session/exchanges.py
+++ b/latchturn/session/exchanges.py
@@ -129,7 +129,8 @@
     def message_received(self, link: Link, message: Message, end_certain: bool = True) -> None:
         """Handle a message of an exchange; a malformed one closes its link. An answer is held if its end is not
         certain."""
-        self.held_answers.release(link)  # this message follows it, so it is whole
+        if link.held_answer is not None:
+            self.held_answers.release(link)  # this message follows it, so it is whole
         exchange = self.by_id[link.exchange_id]
         exchange.consecutive_failures = 0
         self.liveness.message_received(exchange, link)
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -5,6 +5,7 @@
 import random
 import time
 import unittest
+from typing import NamedTuple
 
 from latchturn import boundaries as b
 from latchturn import protocol as p
@@ -34,13 +35,18 @@
 )
 
 
-def feed_all(chunks: list[bytes]) -> tuple[list[b.ReceivedMessage], bool]:
+class Received(NamedTuple):
+    message: p.Message
+    end_certain: bool
+
+
+def feed_all(chunks: list[bytes]) -> tuple[list[Received], bool]:
     """Feed a new decoder; returns what it yields, and whether the input is malformed."""
     decoder, received = b.ExchangeDecoder(), []
     try:
         for chunk in chunks:
-            for message in decoder.feed(chunk):
-                received.append(message)
+            for message in decoder.messages(chunk):
+                received.append(Received(message, decoder.end_certain))
     except p.ProtocolError:
         return received, True
     return received, False
@@ -166,13 +172,13 @@
                 data = whole[:-missing] + p.encode(following)
                 for arrived in (len(data), len(whole) - missing + b.FIRST_VALUE_OFFSET):
                     with self.assertRaises(p.ProtocolError):
-                        list(b.CallerDecoder().feed(data[:arrived]))
+                        list(b.CallerDecoder().messages(data[:arrived]))
 
     def test_whole_set_ups_in_a_row_are_decoded_at_once(self) -> None:
         data = p.encode(set_up(5)) + p.encode(set_up(6))
         for chunks in splits(data):
             decoder = b.CallerDecoder()
-            self.assertEqual([r.message.call for chunk in chunks for r in decoder.feed(chunk)], [5, 6])
+            self.assertEqual([message.call for chunk in chunks for message in decoder.messages(chunk)], [5, 6])
 
 
 class HeldAnswers(unittest.TestCase):
