Cases 6 to 10: a case that cannot run ends with 2, never with 1

Cause: an exception before the case began, or in a caller that a script runs beside the rest, left exit code 1 or a false "not told"; SIGINT and SIGHUP were not handled.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -24,8 +24,11 @@
     port = s.free_port()
     settings = s.settings(instances=FLEET)
     program = s.Program(
-        case, "program", s.config(port, channel, channel.known(), settings=settings, sockets=SOCKETS),
-        case.folder / "tmp", sockets=SOCKETS,
+        case,
+        "program",
+        s.config(port, channel, channel.known(), settings=settings, sockets=SOCKETS),
+        case.folder / "tmp",
+        sockets=SOCKETS,
     )
     await program.wait_ready()
     first = s.Caller(case, port, "caller 0")
@@ -49,8 +52,10 @@
         exchange.on_set_up = lambda connection, call: False
     await asyncio.sleep(2)
     links = sum(len(e.connections) for e in exchanges)
-    case.log(f"{links} connections to exchanges; descriptors of the program: "
-             f"{len(os.listdir(f'/proc/{program.process.pid}/fd'))}")
+    case.log(
+        f"{links} connections to exchanges; descriptors of the program: "
+        f"{len(os.listdir(f'/proc/{program.process.pid}/fd'))}"
+    )
     callers = [s.Caller(case, port, f"caller {n}") for n in range(1, CALLERS)]
     for n, caller in enumerate(callers):
         await caller.connect()
@@ -59,7 +64,9 @@
     await asyncio.sleep(4.2)
     case.log(f"descriptors of the program: {len(os.listdir(f'/proc/{program.process.pid}/fd'))}")
     lost = [
-        c for caller in (first, *callers) for c in caller.calls.values()
+        c
+        for caller in (first, *callers)
+        for c in caller.calls.values()
         if not c.finals and time.time() - c.sent > c.wait_s + 0.5 + s.SLACK_S
     ]
     return [f"set-up {c.ident:016x}: no final answer within {c.wait_s + 0.5} s" for c in lost]
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -59,11 +59,13 @@
     while time.time() < end:  # the caller goes on as usual
         caller.set_up(exchanges[0].number)
         await asyncio.sleep(1)
+    if caller.closed_at:
+        raise RuntimeError("the caller is not connected")
     return [
         f"set-up {c.ident:016x} got {len(c.finals)} answers: "
         + ", ".join(f"{what} after {at - c.sent:.2f} s" for at, what in c.finals)
         for c in caller.calls.values()
-        if len(c.finals) > 1 or (not c.finals and time.time() - c.sent > c.wait_s + 0.5 + s.SLACK_S)
+        if len(c.finals) > 1
     ]
 
 
--- a/review/common2/stand_ins.py
+++ b/review/common2/stand_ins.py
@@ -20,7 +20,7 @@
 import time
 import tomllib
 import traceback
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -106,6 +106,8 @@
         self.record = (folder / "record.txt").open("w")
         self.folder = Path(tempfile.mkdtemp(prefix="latchturn-case-"))
         self.programs: list[Program] = []
+        self.tasks: list[asyncio.Task[None]] = []
+        self.failures: list[str] = []  # of the stand-ins; a case with any has not run
         self.began = time.time()
         self.log(f"TROUBLE={int(TROUBLE)}")
 
@@ -114,6 +116,28 @@
         self.record.write(f"{time.time() - self.began:9.3f} {text}\n")
         self.record.flush()
 
+    def start(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
+        """Run a part of the case beside the others; if it fails, the case has not run."""
+        self.tasks.append(asyncio.create_task(work))
+        return self.tasks[-1]
+
+    def stand_in_failed(self, loop: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
+        """Note an exception that nothing else handles; a broken connection is none."""
+        if not isinstance(context.get("exception"), OSError):
+            self.failures.append(str(context.get("exception") or context["message"]))
+
+    def check_run(self) -> None:
+        """Raise RuntimeError if a stand-in or a part of the case has failed, or the last process has ended."""
+        for task in self.tasks:
+            if task.done() and not task.cancelled() and task.exception() is not None:
+                self.failures.append(f"a part of the case ended: {task.exception()!r}")
+        if self.programs and self.programs[-1].process.poll() is not None:
+            self.failures.append(
+                f"{self.programs[-1].name} has ended, exit code {self.programs[-1].process.returncode}"
+            )
+        if self.failures:
+            raise RuntimeError("; ".join(self.failures))
+
     def close(self) -> None:
         """End all processes of the case and remove its temporary folder."""
         for program in self.programs:
@@ -525,21 +549,27 @@
 
 def main(file: str, play: Callable[[Case], Awaitable[list[str]]]) -> None:
     """Play a case and exit with its result: 0 held, 1 broken, 2 could not run."""
-    case = Case(Path(file).resolve().parent)
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-    code = 2
+    code, case = 2, None
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
+        signal.signal(number, lambda *_: sys.exit(2))
     try:
-        broken = asyncio.new_event_loop().run_until_complete(asyncio.wait_for(play(case), TIME_LIMIT_S))
-        code = 1 if broken else 0
+        case = Case(Path(file).resolve().parent)
+        loop = asyncio.new_event_loop()
+        loop.set_exception_handler(case.stand_in_failed)
+        broken = loop.run_until_complete(asyncio.wait_for(play(case), TIME_LIMIT_S))
+        case.check_run()
         for line in broken:
             case.log(f"BROKEN: {line}")
             print(f"broken: {line}")
         case.log("result: broken" if broken else "result: held")
         print("the rule was broken" if broken else "the rule held")
+        code = 1 if broken else 0
     except BaseException:  # noqa: BLE001 - whatever stopped the case, it has not run
-        case.log("could not run: " + traceback.format_exc())
+        if case is not None:
+            case.log("could not run: " + traceback.format_exc())
         traceback.print_exc()
     finally:
-        case.close()
+        if case is not None:
+            case.close()
     sys.stdout.flush()
     os._exit(code)  # the stand-ins' tasks are not ended one by one
