Bound links and callers by one descriptor budget; close links not needed

Callers saw: no answer at all.

Cause: nothing closed a link that was not needed any more (further attempts of a call, probe and recovery links), and the budget counted three links for each exchange while it promised callers a third of the limit in any case. When accept failed, nothing was freed. A connect that failed for lack of a descriptor counted as a time-out of its exchange, began an outage there and backed it off.

Evidence, old program: 188 connections to exchanges and 201 descriptors after the overload, so 13 for the rest (no leak); 256 at the end, and "Too many open files" for accepts and for probe links.

Change: session/descriptors.py owns the budget: reserve, other process, callers and links together stay within the limit, and callers can have their third. All places that open a link ask it: kept links, attempts, moved attempts, probes, recoveries. To make room it closes the link needed least, only if nothing is on its way on it, no standing call was answered on it, and it is no evidence about a quiet exchange. Links beyond the kept ones are closed after 10 s without use; what was closed is opened again when needed or when there is room. If an accept or a connect still finds no descriptor, one is freed. A connect without a descriptor is no evidence about its exchange. This holds because the sum is bounded where links are opened, whatever the reason, and not by an estimate of how many will be open.

The figures at SIGUSR1 now show open and allowed connections, and the log names a shortage.

Tests changed: those with a limit of 6 to 12 descriptors compare the callers' connections alone, since links are closed for such a limit too; the harness applies the limit once its links are up. What they ask of callers is as before.

--- a/latchturn/net.py
+++ b/latchturn/net.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import fcntl
 import json
 import math
@@ -31,6 +32,7 @@
 BACKLOG = 4096  # the system may allow less; hundreds of callers connect at the same time
 USAGE_INTERVAL_S = 0.25  # between two reports of this process's usage to the other process
 ACCEPT_RETRY_S = 0.05  # delay after accept() failed for lack of descriptors or memory
+NO_DESCRIPTOR_ERRORS = (errno.EMFILE, errno.ENFILE)  # of this process, of the machine
 RESTART_DELAY_S = 0.1  # delay before a service task that failed is restarted
 
 
@@ -328,10 +330,11 @@
         while True:
             try:
                 sock, _ = await listener.accept()
-            except OSError:
-                # Prevents a busy loop while no descriptors are left; new connections wait in the backlog.
+            except OSError as error:
                 self.reducer.counters["accepts_failed"] += 1
-                await trio.sleep(ACCEPT_RETRY_S)
+                if error.errno in NO_DESCRIPTOR_ERRORS:
+                    self.submit(session.DescriptorsExhausted())
+                await trio.sleep(ACCEPT_RETRY_S)  # prevents a busy loop; new connections wait in the backlog
                 continue
             self._nursery.start_soon(self._run_logged, serve, sock)
 
@@ -351,7 +354,7 @@
     async def _run_link(self, connect: session.Connect, stream_task: _StreamTask) -> None:
         """Connect to an exchange and serve the link until it closes."""
         stream_id = connect.stream
-        refused = False
+        refused = no_descriptor = False
         try:
             with trio.socket.socket() as sock:
                 sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
@@ -364,10 +367,11 @@
                     return
         except ConnectionRefusedError:
             refused = True
-        except (OSError, trio.TooSlowError) as error:  # also raised when no descriptors are left
+        except (OSError, trio.TooSlowError) as error:
+            no_descriptor = isinstance(error, OSError) and error.errno in NO_DESCRIPTOR_ERRORS
             log(f"cannot connect to {connect.address[0]}:{connect.address[1]}: {error or 'timed out'}")
         del self._stream_tasks[stream_id]
-        self.submit(session.ConnectFailed(stream_id, refused))
+        self.submit(session.ConnectFailed(stream_id, refused, no_descriptor))
 
     # --- streams of callers and exchanges ---
 
--- a/latchturn/session/attempts.py
+++ b/latchturn/session/attempts.py
@@ -8,9 +8,10 @@
 from .. import interface as i
 from ..protocol import SetUp
 from .component import Component
+from .descriptors import Displace
 from .limits import GIVE_UP_TIMEOUT_US, MAX_LINKS_PER_EXCHANGE, MAX_UNANSWERED_TIMEOUTS, UNRESPONSIVE_US
 from .machines import ATTEMPT, AttemptState, AttemptTransition
-from .state import Attempt, Call, Exchange, PendingGiveUp
+from .state import Attempt, Call, Exchange, Link, PendingGiveUp
 from .timers import TimerKind
 from .trace import TraceEvent
 
@@ -26,23 +27,37 @@
         exchange = self.exchanges.by_id.get(action.exchange)
         number = call.attempt_count
         call.attempt_count += 1
-        slot = None if exchange is None else self.free_slot(exchange, call)
-        if exchange is None or slot is None or exchange.state is not i.ListState.READY:
+        is_ready = exchange is not None and exchange.state is i.ListState.READY
+        link = self.link_for(exchange, call) if exchange is not None and is_ready else None
+        if link is None:
             self.core.events.append(i.AttemptEnded(call.ident, number, action.exchange, i.Outcome.NOT_SENT, 0, False))
             return
-        call.used_slots.add((exchange.ident, slot))
-        link = exchange.links.get(slot) or self.links.connect(exchange, slot)
+        call.used_slots.add((link.exchange_id, link.slot))
         timeout_us = action.timeout_us or call.deadline_us - self.core.now
         due_us = min(self.core.now + timeout_us, call.deadline_us)
         call.attempt = Attempt(call, number, link, self.core.now, due_us)
         link.attempts.add(call.attempt)
+        link.last_used_us = self.core.now
         self.core.counters["attempts"] += 1
         call.attempt.timer = self.timers.set(due_us - self.core.now, TimerKind.ATTEMPT, call.attempt)
         self.writing.queue(link, call.attempt)
 
+    def link_for(self, exchange: Exchange, call: Call) -> Link | None:
+        """The link for an attempt, opened if necessary; None if no slot is left for the call or no descriptor.
+
+        Another link is closed for it only if no link that can take the attempt is open.
+        """
+        slots = self.free_slots(exchange, call)
+        for displace in (Displace.NONE, Displace.ANY):
+            for slot in slots:
+                link = exchange.links.get(slot) or self.links.connect_if_room(exchange, slot, displace)
+                if link is not None:
+                    return link
+        return None
+
     @staticmethod
-    def free_slot(exchange: Exchange, call: Call) -> int | None:
-        """The slot of the link for an attempt, None if all have been used for the call.
+    def free_slots(exchange: Exchange, call: Call) -> list[int]:
+        """The slots of the links that an attempt may use, the best one first.
 
         Each attempt of a call at an exchange uses another link: all have the id of the call, so a late answer to an
         earlier one could not be told from the answer to this one. Two kinds of links come last: those with a partial
@@ -51,7 +66,7 @@
         """
         free = [k for k in range(MAX_LINKS_PER_EXCHANGE) if (exchange.ident, k) not in call.used_slots]
         avoided = {k for k, link in exchange.links.items() if link.partial_since_us or link.unanswered_timeouts}
-        return next((k for k in free if k not in avoided), free[0] if free else None)
+        return sorted(free, key=lambda slot: slot in avoided)
 
     def timed_out(self, attempt: Attempt) -> None:
         """End an attempt that was never sent, else queue its give-up, or close its link if that is unresponsive."""
@@ -116,6 +131,7 @@
         """Free the link, the timer and the call of an attempt that is answered or ends."""
         attempt.state = ATTEMPT.next_state(attempt.state, AttemptTransition.END)
         attempt.link.attempts.discard(attempt)
+        attempt.link.last_used_us = self.core.now
         self.timers.cancel(attempt.timer)
         attempt.call.attempt = None
 
--- a/latchturn/session/callers.py
+++ b/latchturn/session/callers.py
@@ -18,14 +18,11 @@
 from .component import Component
 from .inputs_and_effects import Close, ForwardRelease
 from .limits import (
-    DESCRIPTORS_PER_EXCHANGE,
-    DESCRIPTORS_PER_GUARANTEED_CALLER,
     DRAIN_RETRY_AFTER_MS,
     MAX_CALLS,
     MAX_FAULTS,
     MAX_OPEN_CALLS,
     RECENT_ACTIVITY_US,
-    RESERVED_DESCRIPTORS,
 )
 from .machines import StreamState, StreamTransition
 from .phases import Phase
@@ -107,7 +104,7 @@
     def accept(self, stream: int) -> None:
         """Enter a new connection, if necessary in place of another one."""
         self.core.counters["callers_accepted"] += 1
-        if len(self.by_stream) >= self.limit():
+        if len(self.by_stream) >= self.descriptors.caller_limit():
             # Keeps to the descriptor limit: the least valuable idle connection is closed, else the new one.
             self.core.counters["callers_over_budget"] += 1
             least = self.least_valuable_idle()
@@ -118,14 +115,6 @@
         caller = Caller(stream, StreamState.UP, True, accepted_us=self.core.now, last_active_us=self.core.now)
         self.by_stream[stream] = self.without_calls[stream] = caller
 
-    def limit(self) -> int:
-        """How many callers' connections are allowed by the descriptors that the other process leaves of the limit."""
-        ours = self.core.socket_limit - self.phases.other_descriptors
-        return max(
-            ours // DESCRIPTORS_PER_GUARANTEED_CALLER,
-            ours - RESERVED_DESCRIPTORS - DESCRIPTORS_PER_EXCHANGE * len(self.exchanges.by_id),
-        )
-
     def least_valuable_idle(self) -> Caller | None:
         """The idle connection to close first, None if all are busy.
 
@@ -145,10 +134,17 @@
         return known if self.core.now - known.last_active_us >= RECENT_ACTIVITY_US or unknown is None else unknown
 
     def make_room(self) -> None:
-        """Close connections beyond the limit, after the other process has reported more descriptors."""
-        while len(self.by_stream) > self.limit() and (least := self.least_valuable_idle()) is not None:
+        """Close idle connections beyond the limit."""
+        while len(self.by_stream) > self.descriptors.caller_limit() and self.close_least_valuable():
             self.core.counters["callers_over_budget"] += 1
-            self.writing.drop(least, CloseReason.NO_DESCRIPTORS)
+
+    def close_least_valuable(self, inactive_us: int = 0) -> bool:
+        """Close the least valuable idle connection if it has been inactive for a time; False if nothing is closed."""
+        least = self.least_valuable_idle()
+        if least is None or self.core.now - least.last_active_us < inactive_us:
+            return False
+        self.writing.drop(least, CloseReason.NO_DESCRIPTORS)
+        return True
 
     def set_partial(self, caller: Caller, partial: bool) -> None:
         """Note that the input of a caller ends within a message, or no longer does."""
--- a/latchturn/session/component.py
+++ b/latchturn/session/component.py
@@ -13,6 +13,7 @@
     from .classes import Classes
     from .core import Core
     from .decision_module import DecisionModule
+    from .descriptors import Descriptors
     from .end_notices import EndNotices
     from .exchanges import Exchanges
     from .held_answers import HeldAnswers
@@ -36,6 +37,7 @@
     attempts: Attempts
     calls: Calls
     callers: Callers
+    descriptors: Descriptors
     end_notices: EndNotices
     links: Links
     liveness: Liveness
--- a/latchturn/session/housekeeping.py
+++ b/latchturn/session/housekeeping.py
@@ -45,6 +45,9 @@
             for exchange in list(self.exchanges.by_id.values()):
                 self.liveness.check(exchange)
                 self.missed_ends.check(exchange)
+        self.descriptors.keep_to_limit()
+        self.descriptors.close_idle_links()
+        self.links.reopen_kept_links()
         self._drop_old_settings()
         self.end_notices.check()
         self._drop_expired()
--- a/latchturn/session/inputs_and_effects.py
+++ b/latchturn/session/inputs_and_effects.py
@@ -95,7 +95,13 @@
     """A connect to an exchange has failed."""
 
     stream: int
-    refused: bool  # else it timed out, or no descriptor was free
+    refused: bool  # by the exchange; else it timed out, unless `no_descriptor` is set
+    no_descriptor: bool = False  # this process or machine had none left, which says nothing about the exchange
+
+
+@dataclass(slots=True, frozen=True)
+class DescriptorsExhausted:
+    """A connection that waits at a listener could not be accepted for lack of a file descriptor."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -186,7 +192,7 @@
     Started | Reconfigured | Accepted | MessageReceived | PartialMessage | MalformedInput | EndOfInput
     | ConnectionClosed | Connected | ConnectFailed | WriteCompleted | ListUpdateReceived | ChannelLost | Tick
     | AdminRequest | ListenerReady | ConfigRejected | SuccessorChanged | OtherProcessUsage | CallInherited
-    | ReleaseForwarded | Terminate
+    | ReleaseForwarded | DescriptorsExhausted | Terminate
 )  # fmt: skip
 
 
--- a/latchturn/session/limits.py
+++ b/latchturn/session/limits.py
@@ -78,13 +78,18 @@
 CHANNEL_TIMEOUT_GROWTH = 1.3  # factor on both limits for each connection in a row that delivered nothing
 CHANNEL_RECONNECT_PAUSE_US = 200_000  # at most, after a connection that delivered nothing
 
-# --- callers and calls ---
+# --- descriptors ---
 
-RESERVED_DESCRIPTORS = 40  # for the interpreter, the listeners, the command channel and connections being closed
-DESCRIPTORS_PER_EXCHANGE = 3  # less than MAX_LINKS_PER_EXCHANGE: links for further attempts are seldom all open
+# For the interpreter, the listeners, the admin listener, the command channel and connections that are being closed.
+RESERVED_DESCRIPTORS = 40
+DESCRIPTORS_PER_EXCHANGE = 3  # kept free of callers' connections beyond their guaranteed share
 # Callers get at least one connection for each of this many descriptors that the other process leaves of the limit,
 # however many the links need.
 DESCRIPTORS_PER_GUARANTEED_CALLER = 3
+EXTRA_LINK_IDLE_US = 10 * SECOND  # a link beyond the kept ones is closed once it has not been used for this long
+
+# --- callers and calls ---
+
 # A caller must get a message or a close within 3 s of its connect, and within 3 s of a message that stays partial. A
 # valid set-up may take 2 s and more to arrive in pieces.
 FIRST_MESSAGE_TIMEOUT_US = 2_600_000  # a caller without an open call to which nothing has been sent by then is closed
--- a/latchturn/session/links.py
+++ b/latchturn/session/links.py
@@ -7,13 +7,16 @@
 
 from .. import interface as i
 from .component import Component
+from .descriptors import Displace
 from .inputs_and_effects import Close, Connect
 from .limits import KEPT_LINKS, LINK_PARTIAL_TIMEOUT_US, MAX_ATTEMPT_MOVES, RECONNECT_MAX_US, RECONNECT_MIN_US
 from .machines import StreamTransition
-from .state import Exchange, Link
+from .state import Attempt, Exchange, Link
 from .timers import TimerKind
 from .trace import CloseReason, TraceEvent
 
+BUDGET_REASONS = (CloseReason.NO_DESCRIPTORS, CloseReason.IDLE)  # not caused by the peer, and not reopened at once
+
 
 class Links(Component):
     """Opens links to exchanges, keeps some of them open, and clears up after lost ones."""
@@ -38,16 +41,26 @@
         """Connect the next missing kept link of a usable exchange, now or when its reconnect is due.
 
         Links are opened one after the other. They are needed without calls too, since group states are sent only on
-        open links.
+        open links. Without room for one, the housekeeping tries again; only the first link may displace another.
         """
         slot = next((k for k in range(KEPT_LINKS) if k not in exchange.links or not exchange.links[k].up), KEPT_LINKS)
         if self.exchanges.is_usable(exchange) and slot < KEPT_LINKS and slot not in exchange.links:
             if self.core.now >= exchange.reconnect_due_us:
-                self.connect(exchange, slot)
+                self.connect_if_room(exchange, slot, Displace.NONE if exchange.links else Displace.SPARE)
             else:
                 self.timers.set(exchange.reconnect_due_us - self.core.now, TimerKind.RECONNECT, exchange)
 
-    def connect(self, exchange: Exchange, slot: int) -> Link:
+    def reopen_kept_links(self) -> None:
+        """Connect missing kept links for which there was no room before; called by each sweep."""
+        for exchange in self.exchanges.by_id.values():
+            if self.core.now >= exchange.reconnect_due_us:
+                self.ensure_kept_links(exchange)
+
+    def connect_if_room(self, exchange: Exchange, slot: int, displace: Displace) -> Link | None:
+        """Open a link in a free slot within the descriptor budget, None if there is no room."""
+        return self._connect(exchange, slot) if self.descriptors.make_room_for_link(exchange, displace) else None
+
+    def _connect(self, exchange: Exchange, slot: int) -> Link:
         """Open a link in a free slot; it is in the tables at once, and can be written to once it is up."""
         link = Link(self.next_stream_id, exchange_id=exchange.ident, slot=slot, connect_started_us=self.core.now)
         self.next_stream_id -= 1
@@ -83,7 +96,7 @@
             return
         link.change_state(StreamTransition.CONNECTED)
         self.core.record_event(TraceEvent.LINK_UP, exchange=link.exchange_id, stream=stream)
-        link.up_since_us = self.core.now
+        link.up_since_us = link.last_used_us = self.core.now
         exchange = self.exchanges.by_id[link.exchange_id]
         self.liveness.link_connected(exchange)
         releases, exchange.unsent_releases = exchange.unsent_releases, []
@@ -92,11 +105,21 @@
         self.writing.pending[link.ident] = link
         self.ensure_kept_links(exchange)
 
-    def connect_failed(self, stream: int, refused: bool) -> None:
-        """Remove a link that did not come up, refused by the exchange or timed out."""
+    def connect_failed(self, stream: int, refused: bool, no_descriptor: bool) -> None:
+        """Remove a link that did not come up, refused by the exchange or timed out, or without a free descriptor.
+
+        The lack of a descriptor shows nothing about the exchange. Without that distinction, it would begin an outage
+        of an exchange that is alive.
+        """
         link = self.by_stream.get(stream)
         if link is None:
             return
+        if no_descriptor:
+            self.core.counters["connects_without_descriptor"] += 1
+            self.writing.record_close(link, CloseReason.NO_DESCRIPTORS)
+            self.remove(link, CloseReason.NO_DESCRIPTORS)
+            self.descriptors.exhausted()
+            return
         self.core.counters["connects_refused" if refused else "connects_timed_out"] += 1
         exchange = self.exchanges.by_id[link.exchange_id]
         self.writing.record_close(link, CloseReason.CONNECT_REFUSED if refused else CloseReason.CONNECT_FAILED)
@@ -119,11 +142,10 @@
                 # Nothing of the attempt was written, so it moves to another link. Without this, the reset of a new or
                 # idle link would fail the attempt as if the exchange were dead.
                 attempt.link_changes += 1
-                attempt.link = exchange.links.get(link.slot) or self.connect(exchange, link.slot)
-                attempt.link.attempts.add(attempt)
-                self.writing.queue(attempt.link, attempt)
+                self._move_attempt(attempt, exchange, link.slot)
             elif not attempt.sent:
-                self.attempts.end(attempt, i.Outcome.UNREACHABLE)
+                has_descriptors = reason is not CloseReason.NO_DESCRIPTORS
+                self.attempts.end(attempt, i.Outcome.UNREACHABLE if has_descriptors else i.Outcome.NOT_SENT)
             else:
                 attempt.call.maybe_standing_at.add(exchange.ident)
                 self.attempts.end(attempt, i.Outcome.TIMED_OUT if attempt.giving_up else i.Outcome.CUT)
@@ -131,6 +153,9 @@
             self.exchanges.send_release(exchange, release)
         if link.up_since_us:
             self.missed_ends.link_lost(exchange, link, reason)
+        if reason in BUDGET_REASONS:
+            exchange.reconnect_due_us = self.core.now + RECONNECT_MAX_US
+            return
         # The first reconnect follows at once: if the process has died, its refusal shows that without delay.
         pause_us = 0
         if exchange.consecutive_failures:
@@ -138,3 +163,13 @@
         exchange.consecutive_failures += 1
         exchange.reconnect_due_us = self.core.now + int(pause_us * self.core.random.uniform(0.5, 1.0))
         self.ensure_kept_links(exchange)
+
+    def _move_attempt(self, attempt: Attempt, exchange: Exchange, slot: int) -> None:
+        """Queue an attempt of which nothing has been written on the link that is opened in place of its lost one."""
+        link = exchange.links.get(slot) or self.connect_if_room(exchange, slot, Displace.ANY)
+        if link is None:
+            self.attempts.end(attempt, i.Outcome.NOT_SENT)
+            return
+        attempt.link = link
+        link.attempts.add(attempt)
+        self.writing.queue(link, attempt)
--- a/latchturn/session/liveness.py
+++ b/latchturn/session/liveness.py
@@ -25,6 +25,7 @@
 
 from .. import interface as i
 from .component import Component
+from .descriptors import Displace
 from .limits import (
     DRAINED_AFTER_US,
     KEPT_LINKS,
@@ -206,8 +207,7 @@
         if slot is None:
             # A hung exchange that continues may send the releases of ended calls on a link that is silent so far.
             return may_replace and not silent_links and self._replace_least_needed(exchange)
-        self.links.connect(exchange, slot)
-        return True
+        return self.links.connect_if_room(exchange, slot, Displace.ANY) is not None
 
     def _replace_least_needed(self, exchange: Exchange) -> bool:
         """Open a link in place of the least needed one that has no attempts and is not the last proof link.
@@ -224,7 +224,7 @@
         least_needed = min(idle, key=lambda k: (k.ident in needed, k.slot < KEPT_LINKS, k.last_received_us))
         self.writing.drop(least_needed, CloseReason.PROBED)
         if least_needed.slot not in exchange.links:  # closing a kept link has already reopened it
-            self.links.connect(exchange, least_needed.slot)
+            return self.links.connect_if_room(exchange, least_needed.slot, Displace.ANY) is not None
         return True
 
     @staticmethod
--- a/latchturn/session/phases.py
+++ b/latchturn/session/phases.py
@@ -93,6 +93,7 @@
         figures["outstanding"] = len(self.calls.by_id) + self.other_calls
         figures["discovered"] = len(self.exchanges.by_id)
         figures["ejected"] = self.decision_module.controller.backed_off(self.core.now)
+        figures |= self.descriptors.figures()
         return figures | {name: n for name, n in sorted(self.core.counters.items()) if name not in figures}
 
     def handle_command(self, command: operations.Command | None) -> bytes:
@@ -125,13 +126,13 @@
 
     def is_ready(self) -> bool:
         """Whether calls can be taken and sent: the listener serves, and each usable exchange has sent a group state or
-        cannot be reached, or `READY_TIMEOUT_US` has passed."""
+        cannot be reached or linked, or `READY_TIMEOUT_US` has passed."""
         if not self.listening:
             return False
         if self.core.now - self.started_us >= READY_TIMEOUT_US:
             return True
         return all(
-            e.sends_group_states or e.consecutive_failures or not self.exchanges.is_usable(e)
+            e.sends_group_states or e.consecutive_failures or not e.links or not self.exchanges.is_usable(e)
             for e in self.exchanges.by_id.values()
         )
 
--- a/latchturn/session/reducer.py
+++ b/latchturn/session/reducer.py
@@ -22,6 +22,7 @@
 from .component import Component
 from .core import Core
 from .decision_module import DecisionModule
+from .descriptors import Descriptors
 from .end_notices import EndNotices
 from .exchanges import Exchanges
 from .held_answers import HeldAnswers
@@ -35,6 +36,7 @@
     Connected,
     ConnectFailed,
     ConnectionClosed,
+    DescriptorsExhausted,
     Effect,
     EndOfInput,
     Input,
@@ -75,6 +77,7 @@
         self.attempts = Attempts()
         self.calls = Calls()
         self.callers = Callers()
+        self.descriptors = Descriptors()
         self.end_notices = EndNotices()
         self.links = Links()
         self.liveness = Liveness()
@@ -152,8 +155,10 @@
                 self.writing.peer_reset(stream)
             case Connected(stream):
                 self.links.connected(stream)
-            case ConnectFailed(stream, refused):
-                self.links.connect_failed(stream, refused)
+            case ConnectFailed(stream, refused, no_descriptor):
+                self.links.connect_failed(stream, refused, no_descriptor)
+            case DescriptorsExhausted():
+                self.descriptors.exhausted()
             case ListUpdateReceived(connection, update):
                 self.channel.frame_received(connection, update.number)
                 self.exchanges.apply_list_update(update)
@@ -165,7 +170,7 @@
                 self.phases.listener_ready()
             case OtherProcessUsage(descriptors, calls):
                 self.phases.other_descriptors, self.phases.other_calls = descriptors, calls
-                self.callers.make_room()
+                self.descriptors.keep_to_limit()
             case CallInherited(call, exchange):
                 self.calls.add_inherited(call, exchange)
             case ReleaseForwarded(call, cause):
@@ -203,6 +208,7 @@
         self.core.counters["sighup_applied"] += 1
         self.core.log(f"new configuration: command channel {channel[0]}:{channel[1]}, {socket_limit} sockets")
         self.channel.change_address(channel)
+        self.descriptors.keep_to_limit()
 
     def _process_pending(self) -> None:
         """Pass all queued events to the decision module, then write what is queued on the streams."""
--- a/latchturn/session/state.py
+++ b/latchturn/session/state.py
@@ -138,6 +138,7 @@
     attempts: set[Attempt] = field(default_factory=set)  # those queued or awaiting an answer here
     connect_started_us: int = 0
     up_since_us: int = 0
+    last_used_us: int = 0  # when it came up, or when an attempt on it was begun or ended
     first_received_us: int = 0  # first message
     last_received_us: int = 0  # latest message
     group_state_missing_since_us: int = 0  # since when another link has received a group state that this one lacks
--- a/latchturn/session/trace.py
+++ b/latchturn/session/trace.py
@@ -35,6 +35,7 @@
     EXCHANGE_QUIET = "exchange quiet"
     EXCHANGE_RESPONSIVE = "exchange heard again"
     EXCHANGE_DEAD = "exchange dead"
+    DESCRIPTORS_SHORT = "file descriptors short"
     CHANNEL_CONNECTING = "command channel asked"
     CHANNEL_ANSWERED = "command channel answers"
     CHANNEL_SILENT = "command channel silent"
@@ -49,6 +50,7 @@
         TraceEvent.EXCHANGE_QUIET,
         TraceEvent.EXCHANGE_RESPONSIVE,
         TraceEvent.EXCHANGE_DEAD,
+        TraceEvent.DESCRIPTORS_SHORT,
         TraceEvent.CHANNEL_ANSWERED,
         TraceEvent.CHANNEL_SILENT,
         TraceEvent.CHANNEL_LOST,
@@ -75,6 +77,7 @@
     EXCHANGE_GONE = "its exchange is gone from the list"
     ADDRESS_CHANGED = "its exchange has a new address"
     NO_DESCRIPTORS = "file descriptors are short"
+    IDLE = "it was not needed for some time"
     SAID_NOTHING = "nothing was sent to it in time"
     FINISHED = "all pending answers are written"
     DRAINED = "closed by a drain"
--- a/rig/client.py
+++ b/rig/client.py
@@ -280,6 +280,7 @@
             self.set_up()
 
 
+OCCASIONAL_PROFILE = ClientProfile("occasional", 0.5)
 ABSENT_PROFILE = ClientProfile("absent", 8.0, absence_share=0.1, half_close_share=0.03)
 PROFILES = (
     ClientProfile("steady", 12.0),
--- a/rig/exchange.py
+++ b/rig/exchange.py
@@ -42,6 +42,7 @@
     lose_answer: float = 0.0  # answers that are not sent
     second_answer: float = 0.0  # answers that are sent twice
     spoil_answer: float = 0.0  # answers that are sent corrupted
+    overload: float = 0.0  # set-ups turned away because the processor is full
     truncate_answer: float = 0.0  # answers that end early; the next message follows directly
     pieces: float = 0.0  # messages that are written in two pieces
 
@@ -229,6 +230,9 @@
         elif self.happens(self.options.reset):
             self.close_connection(connection, abort=True)
             return
+        # Without the option nothing is drawn, so that the trials of earlier seeds stay the same.
+        if refusal is None and self.options.overload and self.happens(self.options.overload):
+            refusal = p.Release(message.call, p.ReleaseCause.NO_CIRCUIT, "overload")
         if refusal is not None:
             self.send(connection, p.encode(refusal))
             return
--- a/rig/program.py
+++ b/rig/program.py
@@ -5,6 +5,7 @@
 import copy
 import json
 import os
+import resource
 import signal
 import subprocess
 import tempfile
@@ -60,9 +61,10 @@
 class Program:
     """The program at one address, run by one process at a time."""
 
-    def __init__(self, record: Record, port: int, channel_port: int, sockets: int = 512) -> None:
+    def __init__(self, record: Record, port: int, channel_port: int, sockets: int) -> None:
         deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
         self.command = deploy["run"]
+        self.sockets = sockets
         self.record = record
         self.address = (loopback_address(record.seed), port)
         self.directory = tempfile.TemporaryDirectory()
@@ -104,8 +106,13 @@
         environment = {**os.environ, "GW_CONFIG": str(self.config_path), "TMPDIR": self.directory.name}
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                ["/bin/sh", "-c", self.command], env=environment, cwd=ROOT, stdout=log, stderr=log
-            )
+                ["/bin/sh", "-c", self.command], env=environment, cwd=ROOT, stdout=log, stderr=log,
+                preexec_fn=self.limit_descriptors,
+            )  # fmt: skip
+
+    def limit_descriptors(self) -> None:
+        """Hold the present process to the descriptor limit of the configuration; called before the command runs."""
+        resource.setrlimit(resource.RLIMIT_NOFILE, (self.sockets, self.sockets))
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it is still running."""
@@ -138,6 +145,13 @@
         self.send_signal(signal.SIGKILL)
         await self.wait_for_exit()
 
+    def count_descriptors(self) -> int:
+        """Return how many file descriptors the process holds, 0 if it has ended."""
+        try:
+            return 0 if self.process is None else len(os.listdir(f"/proc/{self.process.pid}/fd"))
+        except OSError:
+            return 0
+
     def close(self) -> None:
         """End the process, copy the log into the record and remove the files."""
         if self.process is not None and self.process.poll() is None:
--- a/rig/record.py
+++ b/rig/record.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+DEFAULT_SOCKETS = 512
+
 
 class AttemptEnd(Enum):
     """How an attempt ended, as the proxy between the program and the exchange observed it."""
@@ -104,5 +106,7 @@
     processes: list[Process] = field(default_factory=list)
     faults: list[tuple[int, str]] = field(default_factory=list)
     unexpected_messages: list[str] = field(default_factory=list)  # messages to clients that cannot be valid
+    sockets: int = DEFAULT_SOCKETS  # descriptor limit of the program
+    most_descriptors: int = 0  # that a process of the program was seen to hold
     stall_us: int = 0  # the longest delay of the trial's own event loop: the error of its times
     ended_us: int = 0
--- a/rig/rules.py
+++ b/rig/rules.py
@@ -217,6 +217,13 @@
             yield Violation("crash", record.ended_us, f"in the log: {log[start : start + 600]!r}")
 
 
+def check_descriptors(record: Record) -> Iterator[Violation]:
+    """The program holds no more descriptors than its configuration allows."""
+    if record.most_descriptors > record.sockets:
+        text = f"{record.most_descriptors} descriptors were open, {record.sockets} are allowed"
+        yield Violation("descriptors", record.ended_us, text)
+
+
 def check_substance(record: Record) -> Iterator[Violation]:
     """At least MIN_ANSWERED calls were answered; otherwise the trial tests too little."""
     answered = sum(bool(call.answered_us) for call in record.calls.values())
@@ -256,5 +263,5 @@
 
 RULES: tuple[Callable[[Record], Iterator[Violation]], ...] = (
     check_answers, check_descriptions, check_unexpected_messages, check_ends, check_attempts, check_drains,
-    check_crashes, check_substance,
+    check_crashes, check_descriptors, check_substance,
 )  # fmt: skip
--- a/rig/scenario.py
+++ b/rig/scenario.py
@@ -18,7 +18,7 @@
 import trio
 
 from .clock import MILLISECOND, SECOND
-from .record import Record
+from .record import DEFAULT_SOCKETS, Record
 from .trial import Trial, new_record
 
 TimedStep = tuple[float, Callable[[Trial], Awaitable[None]]]
@@ -36,6 +36,12 @@
 NAMED_HANG_S = 3.0  # in scenario `hung`
 LATE_DRAIN_S = 11.0  # a drain that is received late lasts longer than the last set-up may come after it
 NAMED_RESETS_S = (0.5, 1.5, 2.5)  # resets of links after the start of a hang, in scenario `hung`
+OVERLOAD_SEED = 10_001  # gives the trial a loopback address of its own
+OVERLOAD_S = 3.0  # in scenario `overload`
+LOW_SOCKETS = 128  # the lowest limit of the deployments
+CALLERS_SHARE = 3  # callers hold at most one of this many descriptors
+EARLY_CLIENTS = 8  # connected during the overload, in scenario `overload`
+LARGE_FLEET = 20  # exchanges; with four links to each, and a third for callers, LOW_SOCKETS are used up
 BREAK_KINDS = ("reset", "close", "forget")  # how connections to exchanges end
 
 
@@ -51,10 +57,14 @@
     families: tuple[str, ...]
     steps: tuple[TimedStep, ...]
     absent: int = 0  # additional clients, which stop reading at times
+    late_clients: int = 0  # additional clients, which connect when a step lets them
+    sockets: int = DEFAULT_SOCKETS  # descriptor limit of the program
 
     def record(self) -> Record:
         """Return an empty record for the trial."""
-        return new_record(self.seed, self.longest_wait_us)
+        record = new_record(self.seed, self.longest_wait_us)
+        record.sockets = self.sockets
+        return record
 
     async def play(self, trial: Trial) -> None:
         """Run each step at its time; return when the fault period is over and all steps have ended."""
@@ -371,9 +381,24 @@
     return Plan(0, 3 * SECOND, 4, 5, 0, ("late",), steps)
 
 
+def overloaded_exchanges() -> Plan:
+    """All exchanges of a large fleet are overloaded for a moment, and then callers hold their third of a low limit."""
+    steps: tuple[TimedStep, ...] = (
+        (1.0, lambda trial: _call_function(partial(trial.change_exchange_options, overload=1.0))),
+        (1.0 + OVERLOAD_S, lambda trial: _call_function(partial(trial.change_exchange_options, overload=0.0))),
+        (2.0 + OVERLOAD_S, lambda trial: _call_function(trial.start_late_clients)),
+    )
+    late_clients = LOW_SOCKETS // CALLERS_SHARE - EARLY_CLIENTS
+    return Plan(
+        OVERLOAD_SEED, 6 * SECOND, LARGE_FLEET, EARLY_CLIENTS, 0, ("overload",), steps,
+        late_clients=late_clients, sockets=LOW_SOCKETS,
+    )  # fmt: skip
+
+
 NAMED_PLANS: dict[str, Callable[[], Plan]] = {
     "incident": silent_exchanges,
     "hung": hung_exchanges,
     "truncated": truncated_answers_in_pieces,
     "late": slow_discovery,
+    "overload": overloaded_exchanges,
 }
--- a/rig/soak.py
+++ b/rig/soak.py
@@ -26,7 +26,7 @@
 def run_trial(plan: scenario.Plan) -> tuple[Record, list[rules.Violation]]:
     """Play one plan in this process and check the rules on its record."""
     record = plan.record()
-    trial = Trial(record, plan.exchanges, plan.clients, plan.crowd, plan.absent)
+    trial = Trial(record, plan.exchanges, plan.clients, plan.crowd, plan.absent, plan.late_clients)
     trio.run(trial.run, plan.play, scenario.QUIET_PERIOD_S)
     return record, rules.check(record)
 
@@ -47,6 +47,7 @@
         "processes": len(record.processes),
         "stall_ms": record.stall_us // 1000,
         "slowest_end_ms": rules.slowest_end_ms(record),
+        "descriptors": f"{record.most_descriptors} of {record.sockets}",
         "early_cuts": rules.early_cuts(record),
         "violations": [f"{v.rule} at {_seconds(record, v.at_us)}: {v.text}" for v in violations],
         "passed_over": [f"{v.rule} at {_seconds(record, v.at_us)}: {v.text}" for v in passed_over],
@@ -98,7 +99,7 @@
     keys = (
         "seed", "families", "wait_ms", "crowd", "calls", "answered", "ended", "processes", "early_cuts",
         "slowest_end_ms",
-        "stall_ms",
+        "descriptors", "stall_ms",
     )  # fmt: skip
     print(" ".join(f"{name}={report.get(name)}" for name in keys), flush=True)
     for kind in ("faults", "violations", "passed_over"):
@@ -112,7 +113,10 @@
     """Run the trials of the command line and return the exit code."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument(
-        "seeds", nargs="*", default=["1-50"], help="numbers, ranges like 1-50, incident, hung, truncated, late"
+        "seeds",
+        nargs="*",
+        default=["1-50"],
+        help="numbers, ranges like 1-50, incident, hung, truncated, late, overload",
     )
     parser.add_argument("--jobs", type=int, default=3, help="trials at a time, each with some eight processes")
     parser.add_argument("--one", action="store_true", help="play one trial in this process")
--- a/rig/trial.py
+++ b/rig/trial.py
@@ -11,7 +11,7 @@
 
 from latchturn import protocol as p
 
-from .client import ABSENT_PROFILE, PROFILES, CallIds, Client
+from .client import ABSENT_PROFILE, OCCASIONAL_PROFILE, PROFILES, CallIds, Client
 from .clock import SECOND, now_us
 from .discovery import Discovery
 from .exchange import ExchangeOptions
@@ -24,18 +24,21 @@
 CONNECTS_AFTER_SIGTERM_S = 0.3  # clients still open new connections for this time
 TRACE_INTERVAL_S = 2.0  # between SIGUSR1, which prints the trace
 STALL_PROBE_S = 0.01
+DESCRIPTOR_INTERVAL_S = 0.1  # between two counts of the program's descriptors
 SETTLE_S = 1.0  # between readiness and the first possible fault
 
 
 class Trial:
     """The processes and sockets of one trial; scenarios are composed of the methods in the `faults` sections."""
 
-    def __init__(self, record: Record, exchanges: int, clients: int, crowd: int, absent: int = 0) -> None:
+    def __init__(
+        self, record: Record, exchanges: int, clients: int, crowd: int, absent: int = 0, late_clients: int = 0
+    ) -> None:
         self.record = record
         self.crowd = crowd
         self.host = loopback_address(record.seed)
         self.discovery = Discovery(free_port(self.host), record)
-        self.program = Program(record, free_port(self.host), self.discovery.port)
+        self.program = Program(record, free_port(self.host), self.discovery.port, record.sockets)
         self.options = ExchangeOptions()
         self.sites = {
             number: Site(EXCHANGE_ID_BASE + number, number, free_port(self.host), self.options, record)
@@ -50,6 +53,10 @@
                 [PROFILES[k % len(PROFILES)] for k in range(clients)] + [ABSENT_PROFILE] * absent
             )
         ]
+        self.late_clients = [
+            Client(OCCASIONAL_PROFILE, self.program.address, record, call_ids, list(self.sites), record.seed * 100 + k)
+            for k in range(len(self.clients), len(self.clients) + late_clients)
+        ]
         self.nursery: trio.Nursery
 
     # --- life cycle of a trial ---
@@ -69,6 +76,7 @@
                     self.nursery.start_soon(self.hold_idle_connection)
                 self.nursery.start_soon(self.request_traces)
                 self.nursery.start_soon(self.measure_stalls)
+                self.nursery.start_soon(self.watch_descriptors)
                 await trio.sleep(SETTLE_S)
                 await scenario(self)
                 await trio.sleep(quiet_s)
@@ -128,6 +136,12 @@
             late_us = now_us() - before - int(STALL_PROBE_S * SECOND)
             self.record.stall_us = max(self.record.stall_us, late_us)
 
+    async def watch_descriptors(self) -> None:
+        """Note the highest number of descriptors that the program is seen to hold."""
+        while True:
+            await trio.sleep(DESCRIPTOR_INTERVAL_S)
+            self.record.most_descriptors = max(self.record.most_descriptors, self.program.count_descriptors())
+
     async def hold_idle_connection(self) -> None:
         """Hold one connection of a crowd, which has sent the first byte of a message and then stays idle."""
         while True:
@@ -141,6 +155,15 @@
         """Enter the start or end of a fault in the record."""
         self.record.faults.append((now_us(), text))
 
+    # --- load ---
+
+    def start_late_clients(self) -> None:
+        """Let the clients connect that were held back so far."""
+        self.record_fault(f"{len(self.late_clients)} further clients connect")
+        self.clients += self.late_clients
+        for client in self.late_clients:
+            self.nursery.start_soon(client.run)
+
     # --- faults: the program ---
 
     async def restart(self, further: Sequence[tuple[float, signal.Signals]] = ()) -> None:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -189,17 +189,20 @@
     return p.ExchangeRecord(i.ListEntry(100 + number, number, state, started), ("127.0.0.1", port or 1000 + number))
 
 
+DEFAULT_SOCKET_LIMIT = 1024
+
+
 class SessionHarness:
     """Runs a reducer on a simulated clock, with exchanges 0 (the own one) to `remote_exchanges`.
 
     Both kept links to each remote exchange are up, and caller stream 1 is connected. Writes complete at once, except on
-    streams in `stalled_streams`.
+    streams in `stalled_streams`. The socket limit applies once the links are up.
     """
 
-    def __init__(self, remote_exchanges: int = 2, socket_limit: int = 1024) -> None:
+    def __init__(self, remote_exchanges: int = 2, socket_limit: int = DEFAULT_SOCKET_LIMIT) -> None:
         settings, _ = read_settings(p.flatten_settings(NESTED))
         self.settings = settings
-        self.session = s.Session(settings, 7, socket_limit)
+        self.session = s.Session(settings, 7, max(socket_limit, DEFAULT_SOCKET_LIMIT))
         self.now = 1_700_000_000 * SECOND
         self.stalled_streams: set[int] = set()
         self.written: list[tuple[int, p.Message]] = []
@@ -221,7 +224,8 @@
             self.second_links[k] = self.connects[-1].stream
             self.submit(s.Connected(self.second_links[k]))
             for link in (stream, self.second_links[k]):
-                self.deliver(link, group_state(40 - k))
+                self.deliver(link, group_state(40 - k % 40))
+        self.session.core.socket_limit = socket_limit
         self.submit(s.Accepted(1))
 
     def submit(self, input_: s.Input) -> list[tuple[int, p.Message]]:
@@ -262,6 +266,11 @@
         self.submit(s.AdminRequest(1, command))
         return self.replies[-1]
 
+    @property
+    def closed_callers(self) -> list[int]:
+        """The callers' connections that the reducer has closed, the earliest first."""
+        return [stream for stream in self.closed if stream > 0]
+
     def figure(self, name: str) -> int:
         """One of the counters and gauges that operators see."""
         return self.session.figures()[name]
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -111,12 +111,12 @@
         for stream in (2, 3):
             harness.submit(s.Accepted(stream))
         harness.submit(s.OtherProcessUsage(200 - 2 * limits.DESCRIPTORS_PER_GUARANTEED_CALLER))
-        self.assertEqual(harness.closed, [1])
+        self.assertEqual(harness.closed_callers, [1])
         harness.submit(s.Accepted(4))
-        self.assertEqual(harness.closed, [1, 2])
+        self.assertEqual(harness.closed_callers, [1, 2])
         harness.submit(s.OtherProcessUsage(0))
         harness.submit(s.Accepted(5))
-        self.assertEqual(harness.closed, [1, 2])
+        self.assertEqual(harness.closed_callers, [1, 2])
 
 
 class InheritedCalls(unittest.TestCase):
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -48,6 +48,11 @@
     def test_correct_trial_breaks_no_rule(self) -> None:
         self.assertEqual(self.broken(), [])
 
+    def test_descriptors_stay_within_the_limit(self) -> None:
+        for most, rules_broken in ((self.record.sockets, []), (self.record.sockets + 1, ["descriptors"])):
+            self.record.most_descriptors = most
+            self.assertEqual(self.broken(), rules_broken)
+
     def test_set_up_needs_one_final_answer_in_time(self) -> None:
         second = (at(1.5), "cause 16")
         for late_s, further_answers, rule in (
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -630,7 +630,7 @@
     def test_the_number_of_callers_follows_the_descriptor_limit(self) -> None:
         for descriptors, exchanges, max_callers in ((384, 3, 335), (1024, 40, 864), (128, 10, 58), (96, 20, 32)):
             harness = SessionHarness(remote_exchanges=exchanges - 1, socket_limit=descriptors)
-            self.assertEqual(harness.session.callers.limit(), max_callers)
+            self.assertEqual(harness.session.descriptors.caller_limit(), max_callers)
 
     def test_a_set_up_that_arrives_in_pieces_outlasts_silent_connections(self) -> None:
         harness = SessionHarness(socket_limit=12 * limits.DESCRIPTORS_PER_GUARANTEED_CALLER)
@@ -655,7 +655,7 @@
         for stream in (3, 4, 5, 6):
             harness.submit(s.Accepted(stream))
         # After it the unknown callers; the connection with the standing call would be the last.
-        self.assertEqual(harness.closed, [2, 3])
+        self.assertEqual(harness.closed_callers, [2, 3])
 
     def test_no_timer_refers_to_calls_that_were_given_up(self) -> None:
         harness = self.harness
