Repeat releases to exchanges until confirmed, and remember refused calls meanwhile

Cause: the answer was lost with its connection, and so was the give-up. A release counted as arrived once it was written; it was repeated only if its link was found dead while the process ran. The exit waited for writes and not for confirmations, 2.6 s before SIGKILL could come. The next process takes the end of an unknown call for that of one that stood before the restart. Without a restart the id was forgotten after 10 s, whatever the exchange knew.

The phase record now shows the number of unconfirmed releases.

Change: session/exchange_releases.py keeps a release pending until its exchange confirms it on the same link or on one opened after it, reports the end, restarts or is gone. The id is remembered that long. It is repeated on another link and on a new one, after 2 s, or after 50 ms once SIGTERM has come, never while the call has a later attempt or stands there. The exit waits up to 1 s for calls that did not stand; with a successor what is pending is handed over. During a replacement the other process is asked before an unknown end is told (session/unknown_ends.py), 0.25 s at most; a real end is still told. It works since one connection keeps the order: what was reported before the confirmation has arrived. After Exit the reducer ignores inputs: it took the closes of its own links for resets and ended the standing calls.

In the checker exchanges confirm releases now, and pending ones count as left over.

Open: a process killed outright within about 2 s of a refusal; an exchange out of reach for over 1 s at a restart.

--- a/latchturn/checking/environment.py
+++ b/latchturn/checking/environment.py
@@ -53,7 +53,7 @@
     "unsucceed",
 )
 # Kinds of timers that have no subject once they are cancelled.
-CANCELLED_TIMER_KINDS = (TimerKind.DEADLINE, TimerKind.CHANNEL, TimerKind.ANSWER_HOLD)
+CANCELLED_TIMER_KINDS = (TimerKind.DEADLINE, TimerKind.CHANNEL, TimerKind.ANSWER_HOLD, TimerKind.RELEASE)
 
 
 class MedianRandom(random.Random):
@@ -180,6 +180,7 @@
                 else:
                     self._deliver(stream, peer, messages)
                     queue.append(s.WriteCompleted(stream))
+                    queue.extend(self._confirmations(stream, peer, messages))
             case s.Connect(stream, address, timeout_us):
                 listening = [e.ident for e in self.simulated_exchanges.values() if e.port == address[1]]
                 self.connecting[stream] = (listening[-1] if listening else 0, self.now_us + timeout_us)
@@ -217,6 +218,12 @@
                 elif self.standing_calls.get(message.call) == peer.exchange_id:
                     del self.standing_calls[message.call]
 
+    @staticmethod
+    def _confirmations(stream: int, peer: Peer, messages: tuple[p.Message, ...]) -> list[s.Input]:
+        """The confirmations that an exchange sends for the releases in a write; callers confirm nothing here."""
+        calls = [message.call for message in messages if isinstance(message, p.Release)] if peer.exchange_id else []
+        return [s.MessageReceived(stream, p.ReleaseConfirmed(call)) for call in calls]
+
     # --- the clock ---
 
     def next_due(self) -> tuple[int, bool] | None:
@@ -514,7 +521,7 @@
         if pending is not None:
             if not peer.pending_arrived:
                 self._deliver(stream, peer, pending)
-            self._submit(s.WriteCompleted(stream))
+            self._submit(s.WriteCompleted(stream), *self._confirmations(stream, peer, pending))
 
     # --- the list ---
 
--- a/latchturn/checking/plants.py
+++ b/latchturn/checking/plants.py
@@ -20,6 +20,7 @@
     calls,
     decision_module,
     end_notices,
+    exchange_releases,
     exchanges,
     links,
     phases,
@@ -315,7 +316,7 @@
 
 @_planted_fault("mini", "a standing call that its caller ends is not released at its exchange")
 def _end_not_passed_on() -> None:
-    _replace_method(exchanges.Exchanges, "send_release", lambda _: lambda s, exchange, message: None)
+    _replace_method(exchange_releases.ExchangeReleases, "send", lambda _: lambda s, exchange, message: None)
 
 
 @_planted_fault("list", "no release is sent to callers when standing calls end because their exchange is gone")
--- a/latchturn/handover.py
+++ b/latchturn/handover.py
@@ -26,6 +26,9 @@
 USAGE = "held"  # open descriptors, open calls
 STANDING_CALL = "stands"  # call, exchange
 FORWARDED_RELEASE = "over"  # call, cause
+PENDING_RELEASE = "unconfirmed"  # call, exchange, cause
+END_REPORTED = "ended?"  # call, cause
+END_ANSWERED = "ended!"  # call, 1 if the receiver must notify the caller, else 0
 MAX_UNREAD_BYTES = 4096  # largest incomplete line, and the size of one read
 
 
--- a/latchturn/net.py
+++ b/latchturn/net.py
@@ -32,6 +32,7 @@
 BACKLOG = 4096  # the system may allow less; hundreds of callers connect at the same time
 USAGE_INTERVAL_S = 0.25  # between two reports of this process's usage to the other process
 ACCEPT_RETRY_S = 0.05  # delay after accept() failed for lack of descriptors or memory
+RELEASE_CAUSES = frozenset(protocol.ReleaseCause)
 NO_DESCRIPTOR_ERRORS = (errno.EMFILE, errno.ENFILE)  # of this process, of the machine
 RESTART_DELAY_S = 0.1  # delay before a service task that failed is restarted
 
@@ -247,6 +248,15 @@
             case session.HandOverCalls(calls):
                 for process in self._process_connections:
                     handover.send_messages(process, handover.STANDING_CALL, calls)
+            case session.HandOverPendingReleases(releases):
+                for process in self._process_connections:
+                    handover.send_messages(process, handover.PENDING_RELEASE, releases)
+            case session.AskAboutEnd(call_id, cause):
+                for process in self._process_connections:
+                    handover.send_message(process, handover.END_REPORTED, call_id, cause)
+            case session.AnswerEndReport(call_id, must_notify):
+                for process in self._process_connections:
+                    handover.send_message(process, handover.END_ANSWERED, call_id, int(must_notify))
             case session.ForwardRelease(call_id, cause):
                 for process in self._process_connections:
                     handover.send_message(process, handover.FORWARDED_RELEASE, call_id, cause)
@@ -306,6 +316,12 @@
                             self.submit(session.CallInherited(call, exchange))
                         case handover.FORWARDED_RELEASE, [call, cause] if cause < 256:
                             self.submit(session.ReleaseForwarded(call, cause))
+                        case handover.PENDING_RELEASE, [call, exchange, cause] if cause in RELEASE_CAUSES:
+                            self.submit(session.PendingReleaseInherited(call, exchange, cause))
+                        case handover.END_REPORTED, [call, cause] if cause in RELEASE_CAUSES:
+                            self.submit(session.EndAskedAbout(call, cause))
+                        case handover.END_ANSWERED, [call, must_notify]:
+                            self.submit(session.EndReportAnswered(call, bool(must_notify)))
                         case handover.SERVING, []:
                             serves = True
                             self.submit(session.SuccessorChanged(True))
--- a/latchturn/session/calls.py
+++ b/latchturn/session/calls.py
@@ -112,7 +112,7 @@
         """
         for exchange_id in sorted(call.maybe_standing_at):
             if exchange_id != call.standing_exchange and exchange_id in self.exchanges.by_id:
-                self.exchanges.send_release(self.exchanges.by_id[exchange_id], Release(call.ident, ReleaseCause.NORMAL))
+                self.exchange_releases.send(self.exchanges.by_id[exchange_id], Release(call.ident, ReleaseCause.NORMAL))
         call.maybe_standing_at.clear()
 
     def remember_ended(self, call_id: int, stood: bool, answered: bool) -> None:
@@ -159,7 +159,7 @@
         """End calls without a release from their exchange, and release them there in case they still stand."""
         self._cut_off(exchange, calls, why)
         for call in calls:
-            self.exchanges.send_release(exchange, Release(call.ident, ReleaseCause.NORMAL))
+            self.exchange_releases.send(exchange, Release(call.ident, ReleaseCause.NORMAL))
 
     def _cut_off(self, exchange: Exchange, calls: list[Call], why: str) -> None:
         if calls:
@@ -184,7 +184,7 @@
         else:
             exchange = self.exchanges.by_id[call.standing_exchange]
             self.end_standing(call, i.Outcome.CANCELLED)
-            self.exchanges.send_release(exchange, Release(call.ident, cause))
+            self.exchange_releases.send(exchange, Release(call.ident, cause))
 
     def add_inherited(self, call_id: int, exchange_id: int) -> None:
         """Enter a standing call of the predecessor. The decision module is not informed, since the number of free
--- a/latchturn/session/component.py
+++ b/latchturn/session/component.py
@@ -15,6 +15,7 @@
     from .decision_module import DecisionModule
     from .descriptors import Descriptors
     from .end_notices import EndNotices
+    from .exchange_releases import ExchangeReleases
     from .exchanges import Exchanges
     from .held_answers import HeldAnswers
     from .housekeeping import Housekeeping
@@ -23,6 +24,7 @@
     from .missed_ends import MissedEnds
     from .phases import Phases
     from .timers import Timers
+    from .unknown_ends import UnknownEnds
     from .writing import Writing
 
 
@@ -39,10 +41,12 @@
     callers: Callers
     descriptors: Descriptors
     end_notices: EndNotices
+    unknown_ends: UnknownEnds
     links: Links
     liveness: Liveness
     missed_ends: MissedEnds
     exchanges: Exchanges
+    exchange_releases: ExchangeReleases
     held_answers: HeldAnswers
     channel: Channel
     phases: Phases
--- a/latchturn/session/exchanges.py
+++ b/latchturn/session/exchanges.py
@@ -20,7 +20,7 @@
     ReleaseConfirmed,
 )
 from .component import Component
-from .limits import EXCHANGE_RELEASE_TTL_US, GROUP_STATE_SPREAD_US
+from .limits import GROUP_STATE_SPREAD_US
 from .machines import CALL, AttemptState, CallTransition
 from .state import Attempt, Call, Exchange, Link, ReceivedGroupState
 from .trace import CloseReason, TraceEvent
@@ -78,6 +78,7 @@
             self.core.record_event(TraceEvent.EXCHANGE_LISTED, exchange=entry.exchange, reason=entry.state.name)
             if entry.started_us > known.started_us:
                 self.calls.cut_off(known, entry.started_us, "has restarted")
+                self.exchange_releases.clear(known)
             known.state, known.started_us = entry.state, entry.started_us
             if entry.state is i.ListState.READY:
                 known.refusing_since_us = 0
@@ -98,6 +99,7 @@
                 self.calls.cut_off(exchange, self.core.now + 1, "is gone from the list")
                 for link in list(exchange.links.values()):
                     self.writing.drop(link, CloseReason.EXCHANGE_GONE)
+                self.exchange_releases.clear(exchange)
                 # Exchanges come and go in a long run: without this, their memory and descriptors would add up.
                 del self.by_id[exchange.ident]
             else:
@@ -116,16 +118,6 @@
         own = self.classes.settings.topology is i.Topology.MESH and exchange.number == self.classes.settings.own_number
         return exchange.state is not i.ListState.GONE and not own
 
-    def send_release(self, exchange: Exchange, release: Release) -> None:
-        """Send a release on any open link, or keep it for the next link that comes up."""
-        # A write in progress may be stuck, so links without one come first.
-        up_links = [k for k in exchange.links.values() if k.up]
-        link = min(up_links, key=lambda k: bool(k.in_flight), default=None)
-        if link is not None:
-            self.writing.queue(link, release)
-        elif exchange.state is not i.ListState.GONE:
-            exchange.unsent_releases.append((self.core.now + EXCHANGE_RELEASE_TTL_US, release))
-
     def message_received(self, link: Link, message: Message, end_certain: bool = True) -> None:
         """Handle a message of an exchange; a malformed one closes its link. An answer is held if its end is not
         certain."""
@@ -157,7 +149,7 @@
                 if not is_first_message:
                     self.links.expect_on_other_links(exchange, link)
         elif isinstance(message, ReleaseConfirmed):
-            link.unconfirmed.pop(message.call, None)
+            self.exchange_releases.confirmed(link, message.call)
         elif isinstance(message, HealthCheck):
             self.writing.queue(link, HealthCheckResult(message.call, True))
         elif not isinstance(message, Progress):
@@ -230,6 +222,7 @@
         call.state = CALL.next_state(call.state, CallTransition.ANSWER)
         call.standing_exchange, call.standing_since_us, call.answer_link = exchange.ident, self.core.now, link.ident
         self.calls.release_maybe_standing(call)
+        self.exchange_releases.end_reported(exchange, call.ident)  # what is pending here concerns an earlier attempt
         exchange.standing_calls.add(call.ident)
         self.core.events.append(
             i.CallAnswered(call.ident, attempt.number, exchange.ident, self.core.now - attempt.started_us)
@@ -266,13 +259,13 @@
             self.end_notices.send(call.caller_stream, Release(call.ident, release.cause))
             self.writing.queue(link, ReleaseConfirmed(call.ident))
         else:
+            if release.cause in CAUSES_OF_END:
+                self.exchange_releases.end_reported(exchange, release.call)
             if report is not None:
                 self.core.events.append(i.ExchangeReport(exchange.ident, True, False, 0, report))
             self.core.counters["late_messages"] += 1
             if call is None and release.call not in self.calls.ended and release.cause in CAUSES_OF_END:
-                # The call stood before this program was restarted; its caller must still get the release.
-                self.calls.remember_ended(release.call, True, True)
-                self.end_notices.send(0, Release(release.call, release.cause))
+                self.unknown_ends.reported(release.call, release.cause)
 
 
 def _load_report(figures: Mapping[str, float]) -> i.LoadReport:
--- a/latchturn/session/housekeeping.py
+++ b/latchturn/session/housekeeping.py
@@ -9,6 +9,7 @@
 from .component import Component
 from .limits import (
     CALLER_PARTIAL_TIMEOUT_US,
+    ENDED_CALL_TTL_US,
     FAULTS_FORGIVEN_PER_SWEEP,
     FIRST_MESSAGE_TIMEOUT_US,
     MAX_SWEEP_DELAY_US,
@@ -121,9 +122,11 @@
             self.core.events.append(i.SettingsChanged(self.classes.settings))
 
     def _drop_expired(self) -> None:
-        """Drop the releases for which no link came up in time, and the ids of calls that ended long ago."""
-        for exchange in self.exchanges.by_id.values():
-            exchange.unsent_releases = [kept for kept in exchange.unsent_releases if kept[0] > self.core.now]
+        """Drop the ids of calls that ended long ago, but for those that may still stand at an exchange."""
         ended = self.calls.ended
         while ended and (first := next(iter(ended.items())))[1].remembered_until_us <= self.core.now:
-            del ended[first[0]]
+            call_id, call = first
+            del ended[call_id]
+            if self.exchange_releases.is_pending(call_id):
+                call.remembered_until_us = self.core.now + ENDED_CALL_TTL_US
+                ended[call_id] = call
--- a/latchturn/session/inputs_and_effects.py
+++ b/latchturn/session/inputs_and_effects.py
@@ -176,6 +176,31 @@
     cause: int
 
 
+@dataclass(slots=True, frozen=True)
+class PendingReleaseInherited:
+    """A call of the predecessor that has ended for its caller and may still stand at an exchange."""
+
+    call: int
+    exchange: int
+    cause: int  # of the release that the exchange has not confirmed
+
+
+@dataclass(slots=True, frozen=True)
+class EndAskedAbout:
+    """An exchange has reported the other process the end of a call that is unknown there."""
+
+    call: int
+    cause: int
+
+
+@dataclass(slots=True, frozen=True)
+class EndReportAnswered:
+    """The answer of the other process to an `AskAboutEnd`."""
+
+    call: int
+    must_notify: bool  # whether this process has to notify the caller
+
+
 @dataclass(slots=True, frozen=True)
 class ConfigRejected:
     """The configuration file read on SIGHUP is invalid."""
@@ -192,7 +217,7 @@
     Started | Reconfigured | Accepted | MessageReceived | PartialMessage | MalformedInput | EndOfInput
     | ConnectionClosed | Connected | ConnectFailed | WriteCompleted | ListUpdateReceived | ChannelLost | Tick
     | AdminRequest | ListenerReady | ConfigRejected | SuccessorChanged | OtherProcessUsage | CallInherited
-    | ReleaseForwarded | DescriptorsExhausted | Terminate
+    | ReleaseForwarded | PendingReleaseInherited | EndAskedAbout | EndReportAnswered | DescriptorsExhausted | Terminate
 )  # fmt: skip
 
 
@@ -261,6 +286,29 @@
     calls: tuple[tuple[int, int], ...]  # id of the call, id of its exchange
 
 
+@dataclass(slots=True, frozen=True)
+class HandOverPendingReleases:
+    """Send the releases that exchanges have not confirmed to the successor as this process exits."""
+
+    releases: tuple[tuple[int, int, int], ...]  # id of the call, id of the exchange, cause
+
+
+@dataclass(slots=True, frozen=True)
+class AskAboutEnd:
+    """Ask the other process about the end of a call that is unknown here; `EndReportAnswered` follows."""
+
+    call: int
+    cause: int
+
+
+@dataclass(slots=True, frozen=True)
+class AnswerEndReport:
+    """Answer an `EndAskedAbout` of the other process."""
+
+    call: int
+    must_notify: bool  # whether the other process has to notify the caller
+
+
 @dataclass(slots=True, frozen=True)
 class ForwardRelease:
     """Send the other process the release of a call that this process does not know."""
@@ -291,5 +339,5 @@
 
 Effect = (
     Connect | Write | Close | CloseIdle | ConnectChannel | CloseChannel | AcceptCallers | HandOverCalls | ForwardRelease
-    | Reply | Log | Exit
+    | HandOverPendingReleases | AskAboutEnd | AnswerEndReport | Reply | Log | Exit
 )  # fmt: skip
--- a/latchturn/session/limits.py
+++ b/latchturn/session/limits.py
@@ -17,6 +17,17 @@
 WRITE_TIMEOUT_US = 2 * SECOND  # a write that takes longer means that the peer has vanished
 GIVE_UP_TIMEOUT_US = 50_000  # if a give-up is not written by then, its link is closed
 
+# --- releases to exchanges ---
+
+# An exchange whose processor is busy confirms a release seconds late, and each repetition costs it work.
+CONFIRMATION_WAIT_US = 2 * SECOND  # before the first repetition, doubled with each further one
+CONFIRMATION_WAIT_MAX_US = 30 * SECOND
+MAX_UNCONFIRMED_WAITS = 5  # then a release counts as arrived at an exchange that has never confirmed any
+MAX_PENDING_RELEASES = 4000  # at one exchange; the oldest one is dropped for a further one
+END_VERDICT_TIMEOUT_US = SECOND // 4  # for the other process; the caller must be notified within 1 s
+EXIT_CONFIRMATION_WAIT_US = SECOND // 20  # before the first repetition after SIGTERM
+EXIT_CONFIRMATION_LIMIT_US = SECOND  # the exit waits this long for the confirmation of a release
+
 # --- failure detector: silence limit and probe links ---
 
 # An exchange may vanish, and a call end, right after its last message; the caller must be notified within 8 s of that
@@ -38,7 +49,6 @@
 
 SILENT_LINK_WAIT_US = SECOND  # a link up this long without a message no longer prevents the next probe link
 SIMULTANEOUS_RESET_US = 500_000  # resets of links within this time count as one event
-EXCHANGE_RELEASE_TTL_US = 60 * SECOND  # a release that waits for a link to its exchange is dropped after this
 # A draining exchange that has refused connections for this long has ended its calls. Without this limit, another
 # process that has taken over its address by then would keep them standing.
 DRAINED_AFTER_US = 3 * SECOND
--- a/latchturn/session/links.py
+++ b/latchturn/session/links.py
@@ -99,9 +99,7 @@
         link.up_since_us = link.last_used_us = self.core.now
         exchange = self.exchanges.by_id[link.exchange_id]
         self.liveness.link_connected(exchange)
-        releases, exchange.unsent_releases = exchange.unsent_releases, []
-        for _, release in releases:
-            self.writing.queue(link, release)
+        self.exchange_releases.link_connected(exchange, link)
         self.writing.pending[link.ident] = link
         self.ensure_kept_links(exchange)
 
@@ -150,7 +148,7 @@
                 attempt.call.maybe_standing_at.add(exchange.ident)
                 self.attempts.end(attempt, i.Outcome.TIMED_OUT if attempt.giving_up else i.Outcome.CUT)
         for release in self.writing.undelivered_releases(link):
-            self.exchanges.send_release(exchange, release)
+            self.exchange_releases.send(exchange, release)
         if link.up_since_us:
             self.missed_ends.link_lost(exchange, link, reason)
         if reason in BUDGET_REASONS:
--- a/latchturn/session/missed_ends.py
+++ b/latchturn/session/missed_ends.py
@@ -90,8 +90,10 @@
             exchange.recovery_due_us = self.core.now + RECOVERY_INTERVAL_US if self.calls_without_link(exchange) else 0
 
     def _may_have_missed_ends(self, exchange: Exchange) -> bool:
-        """Whether an end may have been reported on a lost link: of a call that stands here without its link, or of one
-        that stood in the predecessor and is unknown to this one."""
+        """Whether an end may have been reported on a lost link: of a call that stands here without its link, of one
+        whose release was not confirmed in time, or of one that stood in the predecessor and is unknown here."""
+        if any(pending.waits for pending in exchange.pending_releases.values()):
+            return True
         return bool(self.calls_without_link(exchange)) or self.core.now - self.phases.started_us < PREDECESSOR_ENDS_US
 
     def _is_responsive(self, exchange: Exchange) -> bool:
--- a/latchturn/session/phases.py
+++ b/latchturn/session/phases.py
@@ -12,7 +12,7 @@
 from .. import operations
 from ..protocol import ListUpdate
 from .component import Component
-from .inputs_and_effects import AcceptCallers, CloseIdle, Exit, HandOverCalls
+from .inputs_and_effects import AcceptCallers, CloseIdle, Exit, HandOverCalls, HandOverPendingReleases
 from .limits import (
     DRAIN_FORCE_CLOSE_US,
     DRAIN_INTERVAL_US,
@@ -70,6 +70,7 @@
         open_count = sum(call.standing_exchange is None for call in self.calls.by_id.values())
         text = f"{before.name} to {self.state.name} by {transition.name}: {len(self.callers.by_stream)} connections"
         text += f", {open_count} open calls, {len(self.calls.by_id) - open_count} standing"
+        text += f", {sum(1 for _ in self.exchange_releases.all_pending())} releases to exchanges not confirmed"
         self.core.record_event(TraceEvent.PHASE, reason=text)
 
     def is_work_done(self) -> bool:
@@ -81,6 +82,7 @@
             return True
         if self.has_successor:
             return not self.callers.by_stream and not busy
+        busy = busy or self.exchange_releases.delays_exit()
         return since_sigterm_us >= SIGTERM_GRACE_US and not busy
 
     def figures(self) -> dict[str, int]:
@@ -214,6 +216,7 @@
         self.answer_all_by_us, self.exit_by_us = self.core.now + answer_after_us, self.core.now + exit_after_us
         for after_us in (SIGTERM_GRACE_US, answer_after_us, exit_after_us):
             self.timers.set(after_us, TimerKind.TERM)
+        self.exchange_releases.hurry()
         self.limit_drain_by_sigterm()
 
     def longest_wait_us(self) -> int:
@@ -248,6 +251,7 @@
                         tuple((call_id, exchange_id) for call_id, exchange_id in standing if exchange_id is not None)
                     )
                 )
+                self.core.effects.append(HandOverPendingReleases(self.exchange_releases.to_hand_over()))
             self.change_state(PhaseTransition.EXIT)
             self.core.effects.append(Exit())
 
--- a/latchturn/session/reducer.py
+++ b/latchturn/session/reducer.py
@@ -24,6 +24,7 @@
 from .decision_module import DecisionModule
 from .descriptors import Descriptors
 from .end_notices import EndNotices
+from .exchange_releases import ExchangeReleases
 from .exchanges import Exchanges
 from .held_answers import HeldAnswers
 from .housekeeping import Housekeeping
@@ -38,7 +39,9 @@
     ConnectionClosed,
     DescriptorsExhausted,
     Effect,
+    EndAskedAbout,
     EndOfInput,
+    EndReportAnswered,
     Input,
     ListenerReady,
     ListUpdateReceived,
@@ -46,6 +49,7 @@
     MessageReceived,
     OtherProcessUsage,
     PartialMessage,
+    PendingReleaseInherited,
     Reconfigured,
     ReleaseForwarded,
     Reply,
@@ -57,11 +61,13 @@
 )
 from .links import Links
 from .liveness import Liveness
+from .machines import PhaseState
 from .missed_ends import MissedEnds
 from .phases import Phase, Phases
-from .state import Attempt, Call, Exchange, Link
+from .state import Attempt, Call, Exchange, Link, PendingRelease
 from .timers import TimerKind, Timers
 from .trace import CloseReason
+from .unknown_ends import UnknownEnds
 from .writing import Writing
 
 
@@ -79,10 +85,12 @@
         self.callers = Callers()
         self.descriptors = Descriptors()
         self.end_notices = EndNotices()
+        self.unknown_ends = UnknownEnds()
         self.links = Links()
         self.liveness = Liveness()
         self.missed_ends = MissedEnds()
         self.exchanges = Exchanges()
+        self.exchange_releases = ExchangeReleases()
         self.held_answers = HeldAnswers()
         self.channel = Channel()
         self.phases = Phases()
@@ -97,6 +105,10 @@
         """Process one input and return its effects, which must be run in this order."""
         self.core.now = max(self.core.now, now_us)  # a clock that is set back must not reach the decision module
         self.core.effects = []
+        if self.phases.state is PhaseState.EXITED:
+            # The connections that end now are closed by this process, which shows nothing about their peers.
+            self.timers.heap.clear()
+            return []
         try:
             self._dispatch(input_)
         except Exception:  # noqa: BLE001
@@ -171,11 +183,19 @@
             case OtherProcessUsage(descriptors, calls):
                 self.phases.other_descriptors, self.phases.other_calls = descriptors, calls
                 self.descriptors.keep_to_limit()
+                if not descriptors:
+                    self.unknown_ends.other_process_ended()
             case CallInherited(call, exchange):
                 self.calls.add_inherited(call, exchange)
             case ReleaseForwarded(call, cause):
                 if call in self.calls.by_id:
                     self.calls.end_by_caller(self.calls.by_id[call], cause)
+            case PendingReleaseInherited(call, exchange, cause):
+                self.exchange_releases.add_inherited(call, exchange, cause)
+            case EndAskedAbout(call, cause):
+                self.unknown_ends.asked(call, cause)
+            case EndReportAnswered(call, must_notify):
+                self.unknown_ends.verdict(call, must_notify)
             case SuccessorChanged(serves):
                 self.phases.successor_changed(serves)
             case ConfigRejected(reason):
@@ -258,6 +278,10 @@
             self.links.ensure_kept_links(subject)
         elif kind is TimerKind.CHANNEL and subject == self.channel.connect_count:
             self.channel.connect(self.channel.address)
+        elif kind is TimerKind.END_VERDICT and isinstance(subject, int):
+            self.unknown_ends.no_verdict(subject)
+        elif kind is TimerKind.RELEASE and isinstance(subject, PendingRelease):
+            self.exchange_releases.not_confirmed_in_time(subject)
         elif kind is TimerKind.TERM:
             self.phases.sigterm_timer_due()
         elif kind is TimerKind.CLOSE:
--- a/latchturn/session/state.py
+++ b/latchturn/session/state.py
@@ -86,6 +86,20 @@
 Outgoing = Message | Attempt | PendingGiveUp
 
 
+@dataclass(slots=True, eq=False)
+class PendingRelease:
+    """A release to an exchange that the exchange has not confirmed (see `exchange_releases`)."""
+
+    call_id: int
+    cause: int
+    exchange_id: int
+    first_sent_us: int  # when it was first written, or could not be for lack of a link
+    link: int = 0  # stream of the link on which it was first written, 0 while it waits for a link
+    repeated_on: set[int] = field(default_factory=set)  # streams of links on which it has been queued again
+    waits: int = 0  # how often it was not confirmed in time
+    timer: Timer | None = None
+
+
 @dataclass(slots=True, eq=False)
 class Stream:
     """A connection: the messages to be written, those being written, and the releases not confirmed yet."""
@@ -187,4 +201,5 @@
     standing_calls: set[int] = field(default_factory=set)  # call ids
     recent_group_states: deque[ReceivedGroupState] = field(default_factory=deque)  # oldest first
     sends_group_states: bool = False  # whether a group state has ever been received
-    unsent_releases: list[tuple[int, Release]] = field(default_factory=list)  # expiry time, release waiting for a link
+    pending_releases: dict[int, PendingRelease] = field(default_factory=dict)  # by call id, the earliest first
+    confirms_releases: bool = False  # whether it has ever confirmed a release
--- a/latchturn/session/timers.py
+++ b/latchturn/session/timers.py
@@ -31,6 +31,8 @@
     DRAIN = auto()  # the next search for idle connections during a drain; subject: the number of the drain
     CHANNEL = auto()  # the next connect to the command channel; subject: the number of connects before
     SWEEP = auto()  # the next run of the housekeeping
+    END_VERDICT = auto()  # the verdict of the other process about an end; subject: the id of the call
+    RELEASE = auto()  # the confirmation of a release; subject: the pending release
     TERM = auto()  # one of the time limits after SIGTERM
     CLOSE = auto()  # the next search for idle connections before the exit
 
--- a/latchturn/session/trace.py
+++ b/latchturn/session/trace.py
@@ -26,6 +26,7 @@
     CALL_ENDED = "call ended"  # after its answer
     RELEASE_SENT = "release sent to caller"
     RELEASE_HELD = "release held, no caller connected"
+    RELEASE_SETTLED = "release to exchange no longer pending"
     ATTEMPT_SENT = "attempt sent"
     ATTEMPT_ENDED = "attempt ended"
     CALLER_CLOSED = "caller closed"
--- a/latchturn/session/writing.py
+++ b/latchturn/session/writing.py
@@ -119,18 +119,24 @@
         for item in items:
             if isinstance(item, PendingGiveUp):
                 call = item.attempt.call.ident
-                stream.unconfirmed[call] = (self.core.now, Release(call, ReleaseCause.NORMAL))
+                self._note_written(stream, Release(call, ReleaseCause.NORMAL))
                 if item.attempt.call.attempt is item.attempt:
                     self.attempts.end(item.attempt, i.Outcome.TIMED_OUT)
             elif isinstance(item, Attempt):
                 item.state = ATTEMPT.next_state(item.state, AttemptTransition.WRITTEN)
                 self.core.counters["forwards"] += 1
             elif isinstance(item, Release):
-                stream.unconfirmed[item.call] = (self.core.now, item)
+                self._note_written(stream, item)
         self.pending[stream_id] = stream
         if isinstance(stream, Caller):
             self.callers.close_if_finished(stream)
 
+    def _note_written(self, stream: Stream, release: Release) -> None:
+        """Note a release that has been written and is not confirmed yet."""
+        stream.unconfirmed[release.call] = (self.core.now, release)
+        if isinstance(stream, Link):
+            self.exchange_releases.written(stream, release)
+
     def drop(self, stream: Stream, reason: CloseReason) -> None:
         """Close a stream from this side and remove it."""
         self.record_close(stream, reason)
--- a/rig/exchange.py
+++ b/rig/exchange.py
@@ -42,6 +42,7 @@
     lose_answer: float = 0.0  # answers that are not sent
     second_answer: float = 0.0  # answers that are sent twice
     spoil_answer: float = 0.0  # answers that are sent corrupted
+    strand_answer: float = 0.0  # answers that are not sent, and whose connection stays open without being of use
     overload: float = 0.0  # set-ups turned away because the processor is full
     truncate_answer: float = 0.0  # answers that end early; the next message follows directly
     pieces: float = 0.0  # messages that are written in two pieces
@@ -57,6 +58,7 @@
     outbox: deque[bytes]
     writer_wakeup: trio.Event
     closed: bool = False
+    stranded: bool = False  # open, but nothing passes any more
 
 
 @dataclass(slots=True, eq=False)
@@ -180,6 +182,8 @@
 
     def send(self, connection: Connection, data: bytes) -> None:
         """Queue one encoded message on a connection."""
+        if connection.stranded:
+            return
         connection.outbox.append(data)
         connection.writer_wakeup.set()
 
@@ -213,6 +217,8 @@
 
     def handle_message(self, connection: Connection, message: p.Message) -> None:
         """Handle one message of a session controller."""
+        if connection.stranded:
+            return
         if isinstance(message, p.SetUp):
             self.handle_set_up(connection, message)
         elif isinstance(message, p.Release):
@@ -266,6 +272,9 @@
         self.send_group_state()
         if self.happens(self.options.lose_answer):
             return
+        if self.options.strand_answer and self.happens(self.options.strand_answer):
+            call.connection.stranded = True
+            return
         data = p.encode(p.Answer(call.call_id, answer_description(self.port, call.call_id)))
         if self.happens(self.options.spoil_answer):
             data = data[:2] + bytes(byte ^ 0x5A for byte in data[2:])
--- a/rig/scenario.py
+++ b/rig/scenario.py
@@ -42,6 +42,10 @@
 CALLERS_SHARE = 3  # callers hold at most one of this many descriptors
 EARLY_CLIENTS = 8  # connected during the overload, in scenario `overload`
 LARGE_FLEET = 20  # exchanges; with four links to each, and a third for callers, LOW_SOCKETS are used up
+STRANDED_SEED = 10_002  # gives the trial a loopback address of its own
+STRANDED_BEFORE_S = 0.4  # answers are lost from this long before a restart, in scenario `stranded`
+STRANDED_AFTER_S = 0.1  # until this long after it
+STRANDED_RESTARTS_S = (3.0, 8.0)  # in scenario `stranded`
 BREAK_KINDS = ("reset", "close", "forget")  # how connections to exchanges end
 
 
@@ -395,10 +399,27 @@
     )  # fmt: skip
 
 
+def stranded_answers() -> Plan:
+    """Shortly before restarts answers never arrive, on connections that are of no use afterwards."""
+
+    def strand(share: float) -> Callable[[Trial], Awaitable[None]]:
+        return lambda trial: _call_function(partial(trial.change_exchange_options, strand_answer=share))
+
+    steps: list[TimedStep] = []
+    for restart_s in STRANDED_RESTARTS_S:
+        steps += [
+            (restart_s - STRANDED_BEFORE_S, strand(1.0)),
+            (restart_s, lambda trial: trial.restart()),
+            (restart_s + STRANDED_AFTER_S, strand(0.0)),
+        ]
+    return Plan(STRANDED_SEED, 1200 * MILLISECOND, 4, 6, 0, ("stranded",), tuple(steps))
+
+
 NAMED_PLANS: dict[str, Callable[[], Plan]] = {
     "incident": silent_exchanges,
     "hung": hung_exchanges,
     "truncated": truncated_answers_in_pieces,
     "late": slow_discovery,
     "overload": overloaded_exchanges,
+    "stranded": stranded_answers,
 }
--- a/rig/soak.py
+++ b/rig/soak.py
@@ -116,7 +116,7 @@
         "seeds",
         nargs="*",
         default=["1-50"],
-        help="numbers, ranges like 1-50, incident, hung, truncated, late, overload",
+        help="numbers, ranges like 1-50, incident, hung, truncated, late, overload, stranded",
     )
     parser.add_argument("--jobs", type=int, default=3, help="trials at a time, each with some eight processes")
     parser.add_argument("--one", action="store_true", help="play one trial in this process")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -212,6 +212,9 @@
         self.closed: list[int] = []
         self.replies: list[str] = []
         self.handed_over_calls: tuple[tuple[int, int], ...] = ()
+        self.handed_over_releases: tuple[tuple[int, int, int], ...] = ()
+        self.asked_about: list[tuple[int, int]] = []  # call and cause of all `AskAboutEnd` effects
+        self.verdicts: list[tuple[int, bool]] = []  # of all `AnswerEndReport` effects
         self.accepting_callers: list[bool] = []  # the values of all `AcceptCallers` effects
         self.exited = False
         update = p.ListUpdate(1, i.ListKind.FULL, tuple(exchange_record(k) for k in range(remote_exchanges + 1)))
@@ -249,6 +252,12 @@
                 self.closed.append(effect.stream)
             elif isinstance(effect, s.HandOverCalls):
                 self.handed_over_calls = effect.calls
+            elif isinstance(effect, s.HandOverPendingReleases):
+                self.handed_over_releases = effect.releases
+            elif isinstance(effect, s.AskAboutEnd):
+                self.asked_about.append((effect.call, effect.cause))
+            elif isinstance(effect, s.AnswerEndReport):
+                self.verdicts.append((effect.call, effect.must_notify))
             elif isinstance(effect, s.AcceptCallers):
                 self.accepting_callers.append(effect.on)
             elif isinstance(effect, s.Reply):
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -48,6 +48,21 @@
     def test_correct_trial_breaks_no_rule(self) -> None:
         self.assertEqual(self.broken(), [])
 
+    def test_second_answer_of_a_later_process_counts_unless_the_first_process_was_killed_outright(self) -> None:
+        second = (at(9), "cause 16")
+        for process, rule in (
+            ({"terminated_us": at(4), "exited_us": at(5), "exit_code": 0}, ["second answer"]),
+            ({"terminated_us": at(4), "killed_us": at(8), "exited_us": at(8)}, ["second answer"]),
+            ({"killed_us": at(4), "exited_us": at(4)}, []),
+            ({"killed_us": at(1.05), "exited_us": at(1.05)}, ["second answer"]),
+        ):
+            self.setUp()
+            for name, value in process.items():
+                setattr(self.record.processes[0], name, value)
+            self.record.processes.append(Process(2, at(9), ready_us=at(9.3)))
+            self.call(1).final_answers = [(at(1.1), "cause 42"), second]
+            self.assertEqual([rule for rule in self.broken() if rule == "second answer"], rule)
+
     def test_descriptors_stay_within_the_limit(self) -> None:
         for most, rules_broken in ((self.record.sockets, []), (self.record.sockets + 1, ["descriptors"])):
             self.record.most_descriptors = most
