Plant the wrong address at the renamed method that opens a link

The planted fault wrong-address replaced Links.connect, which is Links._connect since links are opened within the descriptor budget; check plants ended with an AttributeError.

--- a/latchturn/checking/plants.py
+++ b/latchturn/checking/plants.py
@@ -382,7 +382,7 @@
 
         return replacement
 
-    _replace_method(links.Links, "connect", wrap)
+    _replace_method(links.Links, "_connect", wrap)
 
 
 @_planted_fault("writes", "an attempt is ended again when its give-up is written")
