Repeat a release after 0.5 s on a silent link; survive a lack of descriptors

Releases: a process that is killed outright cannot wait for confirmations, and releases were repeated only after 2 s and only to exchanges that had confirmed one before, so a quiet exchange kept a refused call until the next process was told its end. Now a release is repeated after 0.5 s if its link has delivered nothing since, and after 2 s if it has: then the exchange is only slow, and repetitions would cost it work. An exchange that never confirms gets two repetitions.

Descriptors: without a free one the process could not list its own, and the connection to the other process of a replacement ended with that error; the report is left out for that time now. A connect to discovery without a descriptor frees one, like an accept.

The test of a caller that gives up expects that nothing more is written in 10 s: its exchange now confirms the give-up, as exchanges do; what it asks for is as before. The two harnesses of these tests share one network.

--- a/latchturn/net.py
+++ b/latchturn/net.py
@@ -334,7 +334,8 @@
     async def _send_usage(self, sock: trio.socket.SocketType) -> None:
         """Report the open descriptors and calls of this process to the other process periodically."""
         while True:
-            handover.send_message(sock, handover.USAGE, handover.count_descriptors(), len(self.reducer.calls.by_id))
+            with contextlib.suppress(OSError):  # without a free descriptor the open ones cannot be listed
+                handover.send_message(sock, handover.USAGE, handover.count_descriptors(), len(self.reducer.calls.by_id))
             await trio.sleep(USAGE_INTERVAL_S)
 
     # --- callers ---
@@ -476,6 +477,8 @@
                         for update in decoder.feed(data):
                             self.submit(session.ListUpdateReceived(request.connection, update))
             except (OSError, trio.TooSlowError, protocol.ProtocolError) as error:
+                if isinstance(error, OSError) and error.errno in NO_DESCRIPTOR_ERRORS:
+                    self.submit(session.DescriptorsExhausted())
                 reason = str(error) or type(error).__name__
         del self._channel_scopes[request.connection]
         if not scope.cancelled_caught:
--- a/latchturn/session/exchange_releases.py
+++ b/latchturn/session/exchange_releases.py
@@ -13,7 +13,8 @@
 Memory: the id of a call is remembered as long as a release of it is pending (`Housekeeping`).
 
 Repetition: a release that is not confirmed in time is repeated on another link and on one opened for it, while the call
-is over and stands nowhere else at this exchange: a release also ends a later attempt under the same id.
+is over and does not stand at this exchange: a release also ends a later attempt under the same id. If its link has
+delivered something since, the exchange is only slow, and it gets more time.
 
 Exit: a process that ends without a successor waits for the confirmations of calls that did not stand, for a limited
 time. What is pending is handed over to a successor.
@@ -31,7 +32,9 @@
     EXIT_CONFIRMATION_LIMIT_US,
     EXIT_CONFIRMATION_WAIT_US,
     MAX_PENDING_RELEASES,
+    MAX_UNCONFIRMED_REPETITIONS,
     MAX_UNCONFIRMED_WAITS,
+    SILENT_CONFIRMATION_WAIT_US,
 )
 from .state import Exchange, Link, PendingRelease
 from .timers import TimerKind
@@ -81,7 +84,7 @@
         """The exchange has confirmed a release on a link."""
         link.unconfirmed.pop(call_id, None)
         exchange = self.exchanges.by_id[link.exchange_id]
-        exchange.confirms_releases = True
+        exchange.has_confirmed_releases = True
         pending = exchange.pending_releases.get(call_id)
         if pending is not None and self._is_ordered(pending, link):
             self._remove(exchange, pending)
@@ -119,14 +122,24 @@
         exchange = self.exchanges.by_id.get(pending.exchange_id)
         if exchange is None or exchange.pending_releases.get(pending.call_id) is not pending:
             return
+        busy_until_us = pending.first_sent_us + CONFIRMATION_WAIT_US
+        if not self.phases.sigterm_us and self.core.now < busy_until_us and self._has_delivered_since(pending):
+            pending.timer = self.timers.set(busy_until_us - self.core.now, TimerKind.RELEASE, pending)
+            return
         pending.waits += 1
-        if pending.waits > MAX_UNCONFIRMED_WAITS and not exchange.confirms_releases:
+        if pending.waits > MAX_UNCONFIRMED_WAITS and not exchange.has_confirmed_releases:
             self._remove(exchange, pending)
             return
-        if (exchange.confirms_releases or self.phases.sigterm_us) and self._may_repeat(exchange, pending):
+        expects_confirmation = exchange.has_confirmed_releases or pending.waits <= MAX_UNCONFIRMED_REPETITIONS
+        if (expects_confirmation or self.phases.sigterm_us) and self._may_repeat(exchange, pending):
             self._repeat_on_other_links(exchange, pending)
         self._wait(pending)
 
+    def _has_delivered_since(self, pending: PendingRelease) -> bool:
+        """Whether the link of a release has delivered a message since: then its exchange is only slow to confirm."""
+        link = self.links.by_stream.get(pending.link)
+        return link is not None and link.last_received_us > pending.first_sent_us
+
     def _may_repeat(self, exchange: Exchange, pending: PendingRelease) -> bool:
         """Whether a further release cannot end a later attempt or the standing call itself."""
         call = self.calls.by_id.get(pending.call_id)
@@ -160,7 +173,7 @@
     def _wait(self, pending: PendingRelease) -> None:
         """Set the timer for the next repetition."""
         is_short = self.phases.sigterm_us and not self.phases.has_successor
-        base_us = EXIT_CONFIRMATION_WAIT_US if is_short else CONFIRMATION_WAIT_US
+        base_us = EXIT_CONFIRMATION_WAIT_US if is_short else SILENT_CONFIRMATION_WAIT_US
         delay_us = min(base_us << pending.waits, CONFIRMATION_WAIT_MAX_US)
         pending.timer = self.timers.set(delay_us, TimerKind.RELEASE, pending)
 
--- a/latchturn/session/limits.py
+++ b/latchturn/session/limits.py
@@ -19,10 +19,13 @@
 
 # --- releases to exchanges ---
 
-# An exchange whose processor is busy confirms a release seconds late, and each repetition costs it work.
-CONFIRMATION_WAIT_US = 2 * SECOND  # before the first repetition, doubled with each further one
+# Before the first repetition if the link has delivered nothing since; doubled with each further one.
+SILENT_CONFIRMATION_WAIT_US = SECOND // 2
+# Before the first one if it has: an exchange whose processor is busy confirms late, and each repetition costs it work.
+CONFIRMATION_WAIT_US = 2 * SECOND
 CONFIRMATION_WAIT_MAX_US = 30 * SECOND
-MAX_UNCONFIRMED_WAITS = 5  # then a release counts as arrived at an exchange that has never confirmed any
+MAX_UNCONFIRMED_REPETITIONS = 2  # of one release, to an exchange that has never confirmed any
+MAX_UNCONFIRMED_WAITS = 7  # then a release counts as arrived at an exchange that has never confirmed any
 MAX_PENDING_RELEASES = 4000  # at one exchange; the oldest one is dropped for a further one
 END_VERDICT_TIMEOUT_US = SECOND // 4  # for the other process; the caller must be notified within 1 s
 EXIT_CONFIRMATION_WAIT_US = SECOND // 20  # before the first repetition after SIGTERM
--- a/latchturn/session/state.py
+++ b/latchturn/session/state.py
@@ -202,4 +202,4 @@
     recent_group_states: deque[ReceivedGroupState] = field(default_factory=deque)  # oldest first
     sends_group_states: bool = False  # whether a group state has ever been received
     pending_releases: dict[int, PendingRelease] = field(default_factory=dict)  # by call id, the earliest first
-    confirms_releases: bool = False  # whether it has ever confirmed a release
+    has_confirmed_releases: bool = False  # whether it has ever confirmed one
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -310,6 +310,36 @@
         self.deliver(self.first_links[to], p.Answer(call, b"yes"))
 
 
+class SimulatedNetwork:
+    """Accepts the links that a harness opens; subclasses react to new links and to what is written on them."""
+
+    def __init__(self, harness: SessionHarness) -> None:
+        self.harness = harness
+        self.connects_seen = len(harness.connects)
+        self.written_seen = len(harness.written)
+
+    def settle(self) -> None:
+        """Complete connects and handle what has been written, until nothing new happens."""
+        harness = self.harness
+        while self.connects_seen < len(harness.connects) or self.written_seen < len(harness.written):
+            for connect in harness.connects[self.connects_seen :]:
+                self.connects_seen += 1
+                if connect.stream in harness.session.links.by_stream:
+                    harness.submit(s.Connected(connect.stream))
+                    harness.deliver(connect.stream, group_state(20))
+                    self.link_accepted(connect.stream)
+            for stream, message in harness.written[self.written_seen :]:
+                self.written_seen += 1
+                if stream < 0:
+                    self.message_written(stream, message)
+
+    def link_accepted(self, stream: int) -> None:
+        """A link has come up and its group state has been sent."""
+
+    def message_written(self, stream: int, message: p.Message) -> None:
+        """The reducer has written a message on a link."""
+
+
 class Peer:
     """A connection to the program, seen from the test: a caller or a link of an exchange."""
 
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -2,46 +2,41 @@
 
 from __future__ import annotations
 
+import errno
 import sys
 import unittest
+from unittest import mock
 
+import trio
+
+from latchturn import handover, net
 from latchturn import interface as i
 from latchturn import protocol as p
 from latchturn import session as s
 from latchturn.session import limits
 
-from .helpers import SECOND, Program, SessionHarness, exchange_record, group_state, set_up
+from .helpers import SECOND, Program, SessionHarness, SimulatedNetwork, exchange_record, set_up
 
 MAX_LINKS_SEEN = 4  # links that four attempts of one call at one exchange need
 FULL = "overload"  # note of an exchange whose processor is full
 
 
-class Network:
-    """Lets connects of a harness succeed, and answers each set-up as an exchange of the test would."""
+class Network(SimulatedNetwork):
+    """Refuses each set-up while its exchanges are overloaded, and notes the highest number of links."""
 
     def __init__(self, harness: SessionHarness, refuse: bool) -> None:
-        self.harness = harness
+        super().__init__(harness)
         self.refuse = refuse
-        self.connects_seen = len(harness.connects)
-        self.written_seen = len(harness.written)
         self.most_links = len(harness.session.links.by_stream)
 
-    def settle(self) -> None:
-        """Complete connects and answer set-ups until nothing new happens."""
-        harness = self.harness
-        while self.connects_seen < len(harness.connects) or self.written_seen < len(harness.written):
-            for connect in harness.connects[self.connects_seen :]:
-                self.connects_seen += 1
-                if connect.stream in harness.session.links.by_stream:
-                    harness.submit(s.Connected(connect.stream))
-                    harness.deliver(connect.stream, group_state(20))
-            for stream, message in harness.written[self.written_seen :]:
-                self.written_seen += 1
-                if stream < 0 and isinstance(message, p.SetUp) and self.refuse:
-                    harness.deliver(stream, p.Release(message.call, p.ReleaseCause.NO_CIRCUIT, FULL))
-                elif stream < 0 and isinstance(message, p.Release):
-                    harness.deliver(stream, p.ReleaseConfirmed(message.call))
-            self.most_links = max(self.most_links, len(harness.session.links.by_stream))
+    def link_accepted(self, stream: int) -> None:
+        self.most_links = max(self.most_links, len(self.harness.session.links.by_stream))
+
+    def message_written(self, stream: int, message: p.Message) -> None:
+        if isinstance(message, p.SetUp) and self.refuse:
+            self.harness.deliver(stream, p.Release(message.call, p.ReleaseCause.NO_CIRCUIT, FULL))
+        elif isinstance(message, p.Release):
+            self.harness.deliver(stream, p.ReleaseConfirmed(message.call))
 
     def pass_time(self, us: int) -> None:
         """Advance the clock in small steps, settling after each."""
@@ -254,3 +249,29 @@
             self.assertEqual(late.next(), p.HealthCheckResult(7, True))
             for caller in (*idle, late):
                 caller.sock.close()
+
+    def test_the_other_process_is_kept_when_the_descriptors_cannot_be_counted(self) -> None:
+        """Guards against: a moment without a free descriptor ends the connection to the other process."""
+        counts = iter([OSError(errno.EMFILE, "no descriptor"), 7])
+
+        def count_descriptors() -> int:
+            if isinstance(result := next(counts, 7), OSError):
+                raise result
+            return result
+
+        async def send_twice() -> bytes:
+            ours, theirs = trio.socket.socketpair()
+            with (
+                ours,
+                theirs,
+                trio.move_on_after(2 * net.USAGE_INTERVAL_S),
+                mock.patch.object(handover, "count_descriptors", count_descriptors),
+            ):
+                async with trio.open_nursery() as nursery:
+                    server = mock.Mock(reducer=SessionHarness().session)
+                    nursery.start_soon(net.Server._send_usage, server, ours)
+                    received = await theirs.recv(100)
+                    nursery.cancel_scope.cancel()
+            return received
+
+        self.assertEqual(trio.run(send_twice), b"held 7 0\n")
--- a/tests/test_exchange_releases.py
+++ b/tests/test_exchange_releases.py
@@ -10,46 +10,36 @@
 from latchturn import session as s
 from latchturn.session import limits
 
-from .helpers import SECOND, Program, SessionHarness, exchange_record, group_state, set_up
+from .helpers import SECOND, Program, SessionHarness, SimulatedNetwork, exchange_record, group_state, set_up
 
 END = p.ReleaseCause.NORMAL
 
 
-class Exchange:
+class Exchange(SimulatedNetwork):
     """Exchange 101 of a harness: it confirms releases, but on links that no longer deliver, and repeats reports of
     ends on the next link that is opened."""
 
     def __init__(self, harness: SessionHarness, confirms: bool = True, quiet: bool = False) -> None:
-        self.harness = harness
+        super().__init__(harness)
         self.confirms = confirms
         self.quiet = quiet  # sends no group states but the first on each link, so that a dead link is not noticed
         self.dead_links: set[int] = set()
         self.standing: set[int] = set()
         self.unreported: list[int] = []
-        self.connects_seen = len(harness.connects)
-        self.written_seen = len(harness.written)
         self.released: list[int] = []
 
-    def settle(self) -> None:
-        """Accept new links and handle what has been written, until nothing new happens."""
-        harness = self.harness
-        while self.connects_seen < len(harness.connects) or self.written_seen < len(harness.written):
-            for connect in harness.connects[self.connects_seen :]:
-                self.connects_seen += 1
-                if connect.stream in harness.session.links.by_stream:
-                    harness.submit(s.Connected(connect.stream))
-                    harness.deliver(connect.stream, group_state(20))
-                    reports, self.unreported = self.unreported, []
-                    for call in reports:
-                        harness.deliver(connect.stream, p.Release(call, END))
-            for stream, message in harness.written[self.written_seen :]:
-                self.written_seen += 1
-                if stream > 0 or stream in self.dead_links or not isinstance(message, p.Release):
-                    continue
-                self.standing.discard(message.call)
-                self.released.append(message.call)
-                if self.confirms:
-                    harness.deliver(stream, p.ReleaseConfirmed(message.call))
+    def link_accepted(self, stream: int) -> None:
+        reports, self.unreported = self.unreported, []
+        for call in reports:
+            self.harness.deliver(stream, p.Release(call, END))
+
+    def message_written(self, stream: int, message: p.Message) -> None:
+        if stream in self.dead_links or not isinstance(message, p.Release):
+            return
+        self.standing.discard(message.call)
+        self.released.append(message.call)
+        if self.confirms:
+            self.harness.deliver(stream, p.ReleaseConfirmed(message.call))
 
     def pass_time(self, us: int) -> None:
         """Advance the clock in small steps, settling after each; group states arrive on links that deliver."""
@@ -172,17 +162,43 @@
             self.assertEqual(len(releases_to_callers(harness, 77)), 1)
 
     def test_a_refused_call_is_released_on_another_link_when_nothing_confirms_the_first_release(self) -> None:
-        """Guards against: a call of which the answer was lost holds its circuits although the program goes on."""
+        """Guards against: a kill soon after a refusal leaves a call standing whose end the next process reports."""
         harness = SessionHarness(remote_exchanges=1)
-        exchange = Exchange(harness)
-        harness.deliver(1, set_up(4))
-        harness.deliver(1, p.Release(4, END))
-        exchange.settle()  # the exchange has shown that it confirms releases
+        exchange = Exchange(harness, quiet=True)
         exchange.lose_answer(5)
-        exchange.pass_time(SECOND + limits.CONFIRMATION_WAIT_US + SECOND)
+        while not releases_to_callers(harness, 5):
+            exchange.pass_time(10_000)
+        exchange.pass_time(limits.SILENT_CONFIRMATION_WAIT_US + SECOND)
         self.assertEqual(exchange.standing, set())
         self.assertFalse(harness.session.exchange_releases.is_pending(5))
 
+    def test_a_slow_exchange_gets_time_to_confirm(self) -> None:
+        """Guards against: repeated releases add work at an exchange whose processor is busy."""
+        for delivers, repeated in ((True, False), (False, True)):
+            harness = SessionHarness(remote_exchanges=1)
+            exchange = Exchange(harness, confirms=False, quiet=True)
+            harness.deliver(1, set_up(5))
+            harness.deliver(1, p.Release(5, END))
+            exchange.settle()
+            exchange.pass_time(100_000)
+            if delivers:
+                harness.deliver(harness.first_links[1], group_state(7))
+            exchange.released.clear()
+            exchange.pass_time(limits.CONFIRMATION_WAIT_US - 200_000)
+            self.assertEqual(bool(exchange.released), repeated)
+            harness.deliver(harness.first_links[1], p.ReleaseConfirmed(5))
+            self.assertFalse(harness.session.exchange_releases.is_pending(5))
+
+    def test_an_exchange_that_never_confirms_gets_few_repetitions(self) -> None:
+        """Guards against: releases are repeated for ever to an exchange that does not confirm them."""
+        harness = SessionHarness(remote_exchanges=1)
+        exchange = Exchange(harness, confirms=False)
+        harness.deliver(1, set_up(5))
+        harness.deliver(1, p.Release(5, END))
+        exchange.pass_time(120 * SECOND)
+        self.assertLessEqual(len(exchange.released), 2 + 2 * limits.MAX_UNCONFIRMED_REPETITIONS)
+        self.assertFalse(harness.session.exchange_releases.is_pending(5))
+
     def test_a_release_is_not_repeated_while_it_could_end_a_later_attempt(self) -> None:
         """Guards against: the release of an earlier attempt ends the attempt or the call that follows it."""
         harness = SessionHarness(remote_exchanges=1)
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -170,6 +170,7 @@
         self.harness.deliver(1, set_up(5))
         give_up = p.Release(5, GIVE_UP)
         self.assertEqual(self.harness.deliver(1, give_up), [(self.link[1], give_up)])
+        self.harness.deliver(self.link[1], p.ReleaseConfirmed(5))  # else it would be repeated on another link
         self.assertEqual(self.harness.pass_time(10 * SECOND), [])
 
     def test_the_set_ups_of_a_caller_that_disconnects_are_given_up(self) -> None:
